--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,8 +9,8 @@
 	"os"
 	"runtime/debug"
 
-	"jasperhold/internal/wire"
-	"jasperhold/policy"
+	"oatloft/internal/wire"
+	"oatloft/policy"
 )
 
 func main() {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"jasperhold/policy"
+	"oatloft/policy"
 )
 
 // Start begins an instance: everything it knew before is void.
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -6,7 +6,7 @@
 	"strconv"
 	"time"
 
-	"jasperhold/policy"
+	"oatloft/policy"
 )
 
 // Writer writes replies.
--- a/internal/wire/setup.go
+++ b/internal/wire/setup.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"strings"
 
-	"jasperhold/policy"
+	"oatloft/policy"
 )
 
 var effects = map[string]policy.Effect{"safe": policy.Safe, "keyed": policy.Keyed, "unsafe": policy.Unsafe}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"jasperhold/policy"
+	"oatloft/policy"
 )
 
 const setupLine = "provision balancer-id=3 seed=-5 areas=a,b balancers=2 classes.count=2 classes.0.aim-ms=800.0 " +
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"jasperhold/policy"
+	"oatloft/policy"
 )
 
 // A host feeds events in, with the time, and carries out what comes back.
