--- /dev/null
+++ b/cmd/oatloft/main.go
@@ -0,0 +1,98 @@
+// Command oatloft is the balancer's command line: it starts the program or checks what it would start
+// with. It must never hold anything of what the program does.
+package main
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"oatloft/internal/net"
+)
+
+type flags struct {
+	Serve   serve   `cmd:"" help:"Run a balancer in the foreground."`
+	Check   check   `cmd:"" help:"Read a configuration, and say what is wrong with it."`
+	Version version `cmd:"" help:"Print the version."`
+}
+
+type source struct {
+	Config    string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
+	Name      string `help:"The balancer's name, in place of the configuration's." env:"PROXY_NAME"`
+	Listen    string `help:"Where terminals connect, host:port." env:"PROXY_LISTEN"`
+	Discovery string `help:"Discovery's host:port." env:"PROXY_DISCOVERY"`
+}
+
+func (s source) load() (net.Config, error) {
+	return net.LoadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+}
+
+type serve struct{ source }
+
+func (s *serve) Run() error {
+	cfg, err := s.load()
+	if err != nil {
+		return err
+	}
+	cfg.SetLimits()
+	server, err := net.New(cfg, os.Stderr)
+	if err != nil {
+		return err
+	}
+	return server.Run(signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1))
+}
+
+// signals turns signals into plain events.
+func signals(which ...os.Signal) <-chan struct{} {
+	in, out := make(chan os.Signal, 1), make(chan struct{})
+	signal.Notify(in, which...)
+	go func() {
+		for range in {
+			out <- struct{}{}
+		}
+	}()
+	return out
+}
+
+type check struct{ source }
+
+func (c *check) Run() error {
+	cfg, err := c.load()
+	if err != nil {
+		return err
+	}
+	regions := 0
+	if cfg.Known != nil {
+		regions = len(cfg.Known.Regions)
+	}
+	fmt.Printf("%s: listens on %s, discovery at %s, %d classes, %d tenants, %d regions known\n",
+		cfg.Name, cfg.Listen, cfg.Discovery, len(cfg.Core.Policy.Classes), len(cfg.Core.Policy.Tenants), regions)
+	return nil
+}
+
+type version struct{}
+
+func (version) Run() error {
+	revision := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range info.Settings {
+			if s.Key == "vcs.revision" {
+				revision = s.Value
+			}
+		}
+	}
+	fmt.Println("oatloft", revision)
+	return nil
+}
+
+func main() {
+	ctx := kong.Parse(&flags{}, kong.Name("oatloft"), kong.Description("A balancer for long-lived connections."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "oatloft:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,238 @@
+// Package core is the one reducer of the balancer: event and time in, effects out. It owns every
+// transaction, its routed tasks, the regions and the timers, and it drives the decision module in
+// policy/: what happened goes in as the module's events, and the module's actions come out as effects.
+// It must never choose a region, try again or hold a transaction by itself, never touch a socket, and
+// never know how a line of any protocol looks: bytes pass through it unread.
+package core
+
+import (
+	"time"
+
+	"oatloft/policy"
+)
+
+// Handle names a terminal's connection for as long as it lives; the host deals them out.
+type Handle uint32
+
+// Config is what the reducer needs to know beside the module's own settings.
+type Config struct {
+	Policy         policy.Config
+	Seed           int64
+	ConnectTimeout time.Duration // a routed task whose connection is not up by then never ran
+	ProbeTimeout   time.Duration
+	PassThrough    bool // open connections go on elsewhere when this balancer leaves
+}
+
+// Times that the platform's rules set; the figures leave room for the way to the other side.
+const (
+	silentAfter = 5500 * time.Millisecond // an open task with a line unanswered so long is moved (rule: 7 s)
+	sweepEvery  = 250 * time.Millisecond
+	delayEvery  = time.Second            // a region's message delay is told so often while it is long
+	endEarly    = 15 * time.Millisecond  // the final answer leaves so long before the terminal quits
+	leaveAfter  = 800 * time.Millisecond // after SIGTERM new terminals still come for half of this
+	watchSilent = 5 * time.Second        // a sound watch brings something every 2 s
+	watchOpen   = 2 * time.Second        // a call to discovery is answered or given up in this time
+)
+
+// Region is a server as discovery lists it.
+type Region struct {
+	policy.Server
+	Dial string
+}
+
+// Ending says how one side of a transaction, or a routed task, came to its end.
+type Ending int
+
+// The endings. TurnedAway, Erred, MovedAway and Finished are lines that a region sent.
+const (
+	Closed Ending = iota // FIN
+	Broken               // reset
+	Refused
+	TurnedAway
+	Erred
+	MovedAway
+	Finished
+)
+
+// Event is what the host tells the reducer.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Opened is a terminal's first line. At names the region that held it before the run.
+	Opened struct {
+		From Handle
+		policy.Request
+		At string
+	}
+	// TerminalEnded tells that a terminal closed its sending (Closed) or broke.
+	TerminalEnded struct {
+		From Handle
+		How  Ending
+	}
+	// Invalid tells that a terminal sent what it must not: it gets one failed answer.
+	Invalid struct{ From Handle }
+	// Connected tells that a routed task's connection is up, and nothing was sent on it yet.
+	Connected struct {
+		Of      Handle
+		Attempt int
+	}
+	// Sent tells that the first line's last byte has left.
+	Sent struct {
+		Of      Handle
+		Attempt int
+	}
+	// Up tells that the region took the routed task; Data is its answer, Lines what else came along.
+	Up struct {
+		Of      Handle
+		Attempt int
+		Bytes
+	}
+	// TaskEnded tells that a routed task ended.
+	TaskEnded struct {
+		Of      Handle
+		Attempt int
+		How     Ending
+	}
+	// Passed brings bytes of an open transaction, for the other side.
+	Passed struct {
+		Of         Handle
+		FromRegion bool
+		Bytes
+	}
+	// Flow tells that the way to one side is full (Full) or has room again.
+	Flow struct {
+		Of       Handle
+		ToRegion bool
+		Full     bool
+	}
+	// Listed is a list of regions, or changes to it; Whole and Cached as in policy.ListKind.
+	Listed struct {
+		Kind    policy.ListKind
+		Seq     int64
+		Regions []Region
+	}
+	// WatchAlive tells that discovery said something, if only that nothing changed.
+	WatchAlive struct{}
+	// WatchEnded tells that the watch broke or never came up.
+	WatchEnded struct{}
+	// Probed answers a Probe effect.
+	Probed struct {
+		Region string
+		Result policy.Result
+		Report *policy.Report
+	}
+	// Leave tells that the balancer is to go (SIGTERM).
+	Leave struct{}
+	// Tick lets the time pass.
+	Tick struct{}
+)
+
+// Bytes is a piece of a stream. It is valid during the step only. Lines counts the ends of lines other
+// than notes in it, Load tells of a load note, Last what a closing line in it said (Finished or
+// MovedAway, else Closed).
+type Bytes struct {
+	Data  []byte
+	Lines int
+	Load  bool
+	Last  Ending
+}
+
+func (Opened) event()        {}
+func (TerminalEnded) event() {}
+func (Invalid) event()       {}
+func (Connected) event()     {}
+func (Sent) event()          {}
+func (Up) event()            {}
+func (TaskEnded) event()     {}
+func (Passed) event()        {}
+func (Flow) event()          {}
+func (Listed) event()        {}
+func (WatchAlive) event()    {}
+func (WatchEnded) event()    {}
+func (Probed) event()        {}
+func (Leave) event()         {}
+func (Tick) event()          {}
+
+// Effect is what the host has to carry out, in order.
+type Effect interface{ effect() }
+
+// The effects.
+type (
+	// Dial opens a routed task's connection. The one before it is closed already.
+	Dial struct {
+		Of      Handle
+		Attempt int
+		Region  string
+		Addr    string
+	}
+	// SendLine passes the first line on, telling the time left.
+	SendLine struct {
+		Of      Handle
+		Attempt int
+		Left    time.Duration
+	}
+	// DropTask closes a routed task's connection, or stops its dialing.
+	DropTask struct {
+		Of      Handle
+		Attempt int
+	}
+	// Answer is the final answer that is not a region's: short on capacity, or failed.
+	Answer struct {
+		To    Handle
+		Short bool
+		After time.Duration
+	}
+	// Pass writes bytes to one side of an open transaction.
+	Pass struct {
+		Of       Handle
+		ToRegion bool
+		Data     []byte
+	}
+	// Hold stops (On) or goes on with the reading of one side.
+	Hold struct {
+		Of       Handle
+		OfRegion bool
+		On       bool
+	}
+	// EndRegion and EndTerminal pass an ending on, after what is buffered if it was Closed.
+	EndRegion struct {
+		Of  Handle
+		How Ending
+	}
+	EndTerminal struct {
+		Of  Handle
+		How Ending
+	}
+	// MoveTerminal sends the terminal away between two lines and closes both sides.
+	MoveTerminal struct{ Of Handle }
+	// Probe asks a region for its load report.
+	Probe struct {
+		Region  string
+		Addr    string
+		Timeout time.Duration
+	}
+	// ForgetRegion lets go of what is kept for a region that is gone.
+	ForgetRegion struct{ Region string }
+	// Watch asks discovery for all changes after Seq; an earlier watch ends.
+	Watch struct{ Seq int64 }
+	// Unwatch ends the watch.
+	Unwatch struct{}
+	// Exit ends the program.
+	Exit struct{}
+)
+
+func (Dial) effect()         {}
+func (SendLine) effect()     {}
+func (DropTask) effect()     {}
+func (Answer) effect()       {}
+func (Pass) effect()         {}
+func (Hold) effect()         {}
+func (EndRegion) effect()    {}
+func (EndTerminal) effect()  {}
+func (MoveTerminal) effect() {}
+func (Probe) effect()        {}
+func (ForgetRegion) effect() {}
+func (Watch) effect()        {}
+func (Unwatch) effect()      {}
+func (Exit) effect()         {}
--- /dev/null
+++ b/internal/core/reducer.go
@@ -0,0 +1,658 @@
+// The reducer's steps. This file owns the states of transactions, routed tasks and regions, and must
+// never leave a transaction with more than one final answer or more than one routed task out.
+
+package core
+
+import (
+	"time"
+
+	"oatloft/policy"
+)
+
+type state uint8
+
+const (
+	waiting state = iota // no routed task is out
+	dialing              // its connection is coming up
+	sending              // the first line is on its way
+	asked                // the line has left; the region may have run it
+	open                 // up: bytes pass both ways
+)
+
+// transaction is a terminal's request, from its first line to the end of its connection.
+type transaction struct {
+	policy.Request
+	from     Handle
+	at       string // the region that held it before the run
+	state    state
+	attempt  int // number of the latest routed task; -1 before the first
+	region   string
+	sentAt   time.Duration
+	arrived  time.Duration
+	deadline time.Duration
+	until    time.Duration // the routed task is given up then
+	askedAt  time.Duration // open: when the oldest line without a reply passed; 0 if none
+	ended    time.Duration // when the terminal closed its sending; 0 if it has not
+}
+
+// region is a listed server, with what this balancer has learnt of its message delay.
+type region struct {
+	Region
+	toldLong bool
+	toldAt   time.Duration
+}
+
+// Counters count what the balancer has done since its start.
+type Counters struct {
+	Taken, Up, Short, Failed, GoneUnanswered, Moved, Silent    int64
+	Tasks, TasksUp, Unreachable, Reset, TurnedAway, Erred      int64
+	TimedOut, NotSent, Probes, ProbesFailed, Lists, Watches    int64
+	WatchesBroken, Loads, Delays, EndedByRegion, EndedTerminal int64
+	Adopted, MidFlow                                           int64
+}
+
+// Reducer holds the state of one balancer. It is not safe for concurrent use.
+type Reducer struct {
+	Counters Counters
+
+	cfg        Config
+	module     *policy.Balancer
+	delayAim   time.Duration // message delays from here on are told to the module
+	now        time.Duration
+	out        []Effect
+	actions    []policy.Action
+	queue      []policy.Event // for the module, in order
+	running    bool
+	wheel      wheel
+	open       map[Handle]*transaction
+	byID       map[string]*transaction
+	regions    map[string]*region
+	listed     bool
+	seq        int64
+	watching   bool
+	watchUp    bool
+	watchHeard time.Duration
+	watchCalls int
+	owed       int // transactions without their final answer
+	leaving    bool
+	leaveAt    time.Duration
+}
+
+// New returns a reducer, or an error that names the setting that cannot work.
+func New(cfg Config) (*Reducer, error) {
+	module, err := policy.New(cfg.Policy, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	r := &Reducer{cfg: cfg, module: module, open: map[Handle]*transaction{},
+		byID: map[string]*transaction{}, regions: map[string]*region{}}
+	for _, k := range cfg.Policy.Classes {
+		if aim := k.MessageAim / 3; aim > 0 && (r.delayAim == 0 || aim < r.delayAim) {
+			r.delayAim = aim
+		}
+	}
+	return r, nil
+}
+
+// Owed is the number of transactions without their final answer, Open that of all.
+func (r *Reducer) Owed() int { return r.owed }
+
+// Open is the number of transactions that are not over.
+func (r *Reducer) Open() int { return len(r.open) }
+
+// Step takes one event and appends the effects it calls for.
+func (r *Reducer) Step(now time.Duration, ev Event, out []Effect) []Effect {
+	if r.now == 0 {
+		r.wheel.at = int64(now / TickEvery)
+		r.wheel.set(now+sweepEvery, timer{kind: sweepTimer})
+	}
+	r.now, r.out = max(r.now, now), out
+	switch ev := ev.(type) {
+	case Opened:
+		r.opened(ev)
+	case TerminalEnded:
+		r.terminalEnded(ev)
+	case Invalid:
+		if t := r.open[ev.From]; t != nil {
+			r.abandon(t)
+		} else {
+			r.Counters.Taken++
+		}
+		r.Counters.Failed++
+		r.do(Answer{To: ev.From})
+	case Connected:
+		r.connected(ev)
+	case Sent:
+		if t := r.task(ev.Of, ev.Attempt); t != nil && t.state == sending {
+			t.state = asked
+		}
+	case Up:
+		r.up(ev)
+	case TaskEnded:
+		r.taskEnded(ev)
+	case Passed:
+		r.passed(ev)
+	case Flow:
+		if t := r.open[ev.Of]; t != nil && t.state == open {
+			r.do(Hold{Of: t.from, OfRegion: !ev.ToRegion, On: ev.Full})
+		}
+	case Listed:
+		r.list(ev)
+	case WatchAlive:
+		r.watchUp, r.watchHeard = true, r.now
+	case WatchEnded:
+		r.watchEnded()
+	case Probed:
+		if ev.Result != policy.OK {
+			r.Counters.ProbesFailed++
+		}
+		r.feed(policy.ProbeResult{Server: ev.Region, Result: ev.Result, Report: ev.Report})
+	case Leave:
+		if !r.leaving {
+			r.leaving, r.leaveAt = true, r.now+leaveAfter
+			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
+			r.sendAllAway()
+		}
+	case Tick:
+		r.wheel.advance(r.now, r.due)
+	}
+	out = r.out
+	r.out = nil
+	return out
+}
+
+func (r *Reducer) do(e Effect) { r.out = append(r.out, e) }
+
+// feed gives the module one event and carries out what it decides. Events that come of that wait for
+// their turn: the module is never entered twice.
+func (r *Reducer) feed(ev policy.Event) {
+	r.queue = append(r.queue, ev)
+	if r.running {
+		return
+	}
+	r.running = true
+	for len(r.queue) > 0 {
+		next := r.queue[0]
+		r.queue = r.queue[1:]
+		r.actions = r.module.Step(r.now, next, r.actions[:0])
+		for _, a := range r.actions {
+			r.action(a)
+		}
+	}
+	r.queue, r.running = r.queue[:0], false
+}
+
+func (r *Reducer) action(a policy.Action) {
+	switch a := a.(type) {
+	case policy.Send:
+		if t := r.byID[a.ID]; t != nil {
+			r.send(t, a)
+		}
+	case policy.Refuse:
+		if t := r.byID[a.ID]; t != nil && t.state != open {
+			r.Counters.Short++
+			r.answer(t, true, a.RetryAfter)
+		}
+	case policy.Fail:
+		if t := r.byID[a.ID]; t != nil && t.state != open {
+			r.Counters.Failed++
+			r.answer(t, false, 0)
+		}
+	case policy.Move:
+		if t := r.byID[a.ID]; t != nil && t.state == open {
+			r.sendAway(t)
+		}
+	case policy.Probe:
+		r.Counters.Probes++
+		if g := r.regions[a.Server]; g != nil {
+			r.do(Probe{Region: a.Server, Addr: g.Dial, Timeout: r.cfg.ProbeTimeout})
+		} else {
+			r.feed(policy.ProbeResult{Server: a.Server, Result: policy.Unreachable})
+		}
+	case policy.Subscribe:
+		r.Counters.Watches++
+		r.watching, r.watchUp, r.watchHeard = true, false, r.now
+		r.watchCalls++
+		r.wheel.set(r.now+watchOpen, timer{kind: watchTimer, attempt: r.watchCalls})
+		r.do(Watch{Seq: r.seq})
+	case policy.SetTimer:
+		r.wheel.set(r.now+a.After, timer{kind: wakeTimer, token: a.Token})
+	}
+}
+
+func (r *Reducer) opened(ev Opened) {
+	r.Counters.Taken++
+	if r.open[ev.From] != nil || r.byID[ev.ID] != nil {
+		r.Counters.Failed++
+		r.do(Answer{To: ev.From})
+		return
+	}
+	t := &transaction{Request: ev.Request, from: ev.From, at: ev.At, attempt: -1, arrived: r.now}
+	t.Patience = max(0, t.Patience-endEarly)
+	t.deadline = r.now + t.Patience
+	r.open[t.from], r.byID[t.ID] = t, t
+	r.owed++
+	r.wheel.set(t.deadline, timer{kind: deadlineTimer, of: t.from})
+	if t.MidFlow {
+		r.Counters.MidFlow++
+	}
+	if t.at != "" {
+		r.goBack(t)
+		return
+	}
+	r.feed(t.Request)
+}
+
+// goBack sends a connection to the region that held it before the run, once that region is known. This
+// is no decision: the platform names the region.
+func (r *Reducer) goBack(t *transaction) {
+	if g := r.regions[t.at]; g != nil && t.state == waiting {
+		r.dial(t, g, t.deadline)
+	}
+}
+
+func (r *Reducer) send(t *transaction, a policy.Send) {
+	until := t.deadline
+	if a.Until > 0 {
+		until = min(until, a.Until)
+	}
+	g := r.regions[a.Server]
+	if g == nil || t.state != waiting {
+		r.Counters.NotSent++
+		t.attempt++
+		r.feed(policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: a.Server, Result: policy.Unreachable})
+		return
+	}
+	r.dial(t, g, until)
+}
+
+func (r *Reducer) dial(t *transaction, g *region, until time.Duration) {
+	r.Counters.Tasks++
+	t.attempt++
+	t.state, t.region, t.sentAt, t.until = dialing, g.ID, r.now, until
+	if t.at == "" { // all that were open before the run come at once, and may take longer
+		r.wheel.set(r.now+r.cfg.ConnectTimeout, timer{kind: connectTimer, of: t.from, attempt: t.attempt})
+	}
+	if until < t.deadline {
+		r.wheel.set(until, timer{kind: untilTimer, of: t.from, attempt: t.attempt})
+	}
+	r.do(Dial{Of: t.from, Attempt: t.attempt, Region: g.ID, Addr: g.Dial})
+}
+
+// task finds a transaction by its routed task that is out; news of an earlier one concerns nobody.
+func (r *Reducer) task(of Handle, attempt int) *transaction {
+	t := r.open[of]
+	if t == nil || t.attempt != attempt || t.state == waiting {
+		return nil
+	}
+	return t
+}
+
+// connected sends the line, unless the region was listed as draining or gone while the connection came
+// up: what is sent later than the grace after that breaks a rule, and nothing has run yet.
+func (r *Reducer) connected(ev Connected) {
+	t := r.task(ev.Of, ev.Attempt)
+	if t == nil || t.state != dialing {
+		return
+	}
+	if g := r.regions[t.region]; t.at == "" && (g == nil || g.State != policy.Live) {
+		r.Counters.NotSent++
+		r.giveUp(t, policy.Unreachable)
+		return
+	}
+	t.state = sending
+	r.do(SendLine{Of: t.from, Attempt: t.attempt, Left: t.until - r.now})
+}
+
+// giveUp closes a routed task and tells the module how it ended.
+func (r *Reducer) giveUp(t *transaction, how policy.Result) {
+	r.do(DropTask{Of: t.from, Attempt: t.attempt})
+	r.outcome(t, how)
+}
+
+// outcome ends the routed task that was out. One that went where the platform said is none of the
+// module's: its transaction fails.
+func (r *Reducer) outcome(t *transaction, how policy.Result) {
+	switch how {
+	case policy.Unreachable:
+		r.Counters.Unreachable++
+	case policy.Reset:
+		r.Counters.Reset++
+	case policy.Full:
+		r.Counters.TurnedAway++
+	case policy.Failed:
+		r.Counters.Erred++
+	case policy.TimedOut:
+		r.Counters.TimedOut++
+	}
+	t.state = waiting
+	if t.at != "" {
+		r.Counters.Failed++
+		r.answer(t, false, 0)
+		return
+	}
+	r.feed(policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: how})
+}
+
+func (r *Reducer) up(ev Up) {
+	t := r.task(ev.Of, ev.Attempt)
+	if t == nil || t.state == open {
+		return
+	}
+	r.Counters.Up++
+	r.Counters.TasksUp++
+	r.owed--
+	t.state = open
+	r.do(Pass{Of: t.from, Data: ev.Data})
+	if t.at != "" {
+		r.Counters.Adopted++
+		r.feed(policy.Adopted{Request: t.Request, Server: t.region})
+	} else {
+		r.feed(policy.Established{ID: t.ID, Attempt: t.attempt, Server: t.region, Latency: r.now - t.sentAt})
+	}
+	if r.open[t.from] != t {
+		return
+	}
+	if t.ended > 0 {
+		r.do(EndRegion{Of: t.from, How: Closed})
+	}
+	r.notes(t, ev.Bytes)
+	if r.leaving && !r.cfg.PassThrough {
+		r.sendAway(t)
+	}
+}
+
+// passed hands bytes on at once, and learns from them what the region's connections tell.
+func (r *Reducer) passed(ev Passed) {
+	t := r.open[ev.Of]
+	if t == nil || t.state != open {
+		return
+	}
+	r.do(Pass{Of: t.from, ToRegion: !ev.FromRegion, Data: ev.Data})
+	switch {
+	case ev.FromRegion:
+		if ev.Lines > 0 && t.askedAt > 0 {
+			r.delay(t, r.now-t.askedAt)
+			t.askedAt = 0
+		}
+		r.notes(t, ev.Bytes)
+	case ev.Lines > 0 && t.askedAt == 0:
+		t.askedAt = r.now
+	}
+}
+
+func (r *Reducer) notes(t *transaction, b Bytes) {
+	if b.Load {
+		r.Counters.Loads++
+		r.feed(policy.LoadChange{ID: t.ID})
+	}
+}
+
+// delay tells the module of a message's delay as the settings' note 2 does: once a second for a region
+// while it is over a third of the tightest aim, and once more when it is back under.
+func (r *Reducer) delay(t *transaction, took time.Duration) {
+	g := r.regions[t.region]
+	if g == nil || r.delayAim == 0 {
+		return
+	}
+	long := took > r.delayAim
+	if long && g.toldLong && r.now < g.toldAt+delayEvery || !long && !g.toldLong {
+		return
+	}
+	g.toldLong, g.toldAt = long, r.now
+	r.Counters.Delays++
+	r.feed(policy.Delay{ID: t.ID, Server: g.ID, Delay: took})
+}
+
+func (r *Reducer) taskEnded(ev TaskEnded) {
+	t := r.task(ev.Of, ev.Attempt)
+	if t == nil {
+		return
+	}
+	if t.state == open {
+		r.Counters.EndedByRegion++
+		result := policy.Reset
+		switch ev.How {
+		case Finished:
+			result = policy.OK
+		case MovedAway:
+			result = policy.Canceled
+		}
+		if ev.How != Broken {
+			ev.How = Closed
+		}
+		if t.ended > 0 && result == policy.Reset {
+			result = policy.Canceled
+		}
+		r.do(EndTerminal{Of: t.from, How: ev.How})
+		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: result, Final: true})
+		return
+	}
+	how := policy.Reset
+	switch ev.How {
+	case Refused:
+		how = policy.Unreachable
+	case TurnedAway:
+		how = policy.Full
+	case Erred, Finished:
+		how = policy.Failed
+	case MovedAway:
+		how = policy.Canceled
+	case Closed, Broken:
+		if t.state != asked {
+			how = policy.Unreachable // the line's last byte never left
+		}
+	}
+	r.giveUp(t, how)
+}
+
+// terminalEnded follows a terminal's end. One that only closed its sending still waits for its answer.
+func (r *Reducer) terminalEnded(ev TerminalEnded) {
+	t := r.open[ev.From]
+	if t == nil {
+		return
+	}
+	switch {
+	case ev.How == Closed && t.state == open:
+		r.Counters.EndedTerminal++
+		r.do(EndRegion{Of: t.from, How: Closed})
+		t.ended = r.now
+	case ev.How == Closed:
+		t.ended = r.now
+	case t.state == open:
+		r.Counters.EndedTerminal++
+		r.do(EndRegion{Of: t.from, How: Broken})
+		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+	default:
+		r.Counters.GoneUnanswered++
+		r.abandon(t)
+	}
+}
+
+// abandon ends a transaction that no longer wants its answer, or gets it from elsewhere.
+func (r *Reducer) abandon(t *transaction) {
+	if t.state == open {
+		r.do(EndRegion{Of: t.from, How: Closed})
+		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+		return
+	}
+	if t.state != waiting {
+		r.do(DropTask{Of: t.from, Attempt: t.attempt})
+	}
+	r.owed--
+	r.over(t, policy.ClientGone{ID: t.ID})
+}
+
+// answer gives the final answer; the module has closed the transaction.
+func (r *Reducer) answer(t *transaction, short bool, after time.Duration) {
+	if t.state != waiting {
+		r.do(DropTask{Of: t.from, Attempt: t.attempt})
+	}
+	r.owed--
+	r.do(Answer{To: t.from, Short: short, After: after})
+	r.over(t, nil)
+}
+
+// over forgets a transaction and tells the module why, if it does not know.
+func (r *Reducer) over(t *transaction, ev policy.Event) {
+	delete(r.open, t.from)
+	delete(r.byID, t.ID)
+	if ev != nil && (t.at == "" || t.state == open) {
+		r.feed(ev)
+	}
+}
+
+func (r *Reducer) sendAway(t *transaction) {
+	r.Counters.Moved++
+	r.do(MoveTerminal{Of: t.from})
+	r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+}
+
+// sendAllAway moves all terminals before the balancer leaves, where it would break their connections.
+func (r *Reducer) sendAllAway() {
+	if r.cfg.PassThrough {
+		return
+	}
+	for _, t := range r.open {
+		if t.state == open {
+			r.sendAway(t)
+		}
+	}
+}
+
+func (r *Reducer) list(ev Listed) {
+	r.Counters.Lists++
+	if ev.Kind != policy.ListCached {
+		r.watchUp, r.watchHeard = true, r.now
+	}
+	r.seq = max(r.seq, ev.Seq)
+	if ev.Kind != policy.ListDelta {
+		r.seq = ev.Seq
+	}
+	servers := make([]policy.Server, 0, len(ev.Regions))
+	named := make(map[string]bool, len(ev.Regions))
+	for _, g := range ev.Regions {
+		servers = append(servers, g.Server)
+		named[g.ID] = true
+		switch known := r.regions[g.ID]; {
+		case g.State == policy.Gone:
+			r.forget(g.ID)
+		case known == nil:
+			r.regions[g.ID] = &region{Region: g}
+		default:
+			if known.Dial != g.Dial {
+				r.do(ForgetRegion{g.ID})
+			}
+			known.Region = g
+		}
+	}
+	if ev.Kind != policy.ListDelta {
+		for id := range r.regions {
+			if !named[id] {
+				r.forget(id)
+			}
+		}
+	}
+	r.feed(policy.ServerList{Kind: ev.Kind, Servers: servers})
+	for _, t := range r.open {
+		if t.at != "" {
+			r.goBack(t)
+		}
+	}
+}
+
+func (r *Reducer) forget(id string) {
+	if r.regions[id] != nil {
+		delete(r.regions, id)
+		r.do(ForgetRegion{id})
+	}
+}
+
+func (r *Reducer) watchEnded() {
+	if !r.watching {
+		return
+	}
+	r.Counters.WatchesBroken++
+	r.watching = false
+	r.do(Unwatch{})
+	r.feed(policy.ServerList{Kind: policy.ListFailed})
+}
+
+// due fires one timer.
+func (r *Reducer) due(t timer) {
+	switch t.kind {
+	case wakeTimer:
+		r.feed(policy.Wake{Token: t.token})
+	case connectTimer:
+		if x := r.task(t.of, t.attempt); x != nil && x.state == dialing {
+			r.giveUp(x, policy.Unreachable)
+		}
+	case untilTimer:
+		if x := r.task(t.of, t.attempt); x != nil && x.state != open {
+			r.giveUp(x, r.lateResult(x))
+		}
+	case deadlineTimer:
+		r.deadline(r.open[t.of])
+	case sweepTimer:
+		r.wheel.set(r.now+sweepEvery, timer{kind: sweepTimer})
+		r.sweep()
+	case watchTimer:
+		if r.watching && t.attempt == r.watchCalls && !r.watchUp {
+			r.watchEnded()
+		}
+	case leaveTimer:
+		if r.owed == 0 {
+			r.do(Exit{})
+			return
+		}
+		r.wheel.set(r.now+TickEvery, timer{kind: leaveTimer})
+	}
+}
+
+// lateResult tells how a routed task ends whose time is up: one that was never sent has not run.
+func (r *Reducer) lateResult(t *transaction) policy.Result {
+	if t.state == dialing {
+		return policy.Unreachable
+	}
+	return policy.TimedOut
+}
+
+// deadline makes sure of the final answer: the module gets its time-out first, and if it still holds the
+// transaction then, the answer is that it failed.
+func (r *Reducer) deadline(t *transaction) {
+	if t == nil || t.state == open || r.now < t.deadline {
+		return
+	}
+	if t.state != waiting {
+		r.giveUp(t, r.lateResult(t))
+	}
+	if r.open[t.from] == t && t.state != open {
+		r.Counters.Failed++
+		r.do(Answer{To: t.from})
+		r.abandon(t)
+	}
+}
+
+// sweep ends what has gone silent: a region's machine that vanished keeps its connections open and says
+// nothing, and so does discovery's.
+func (r *Reducer) sweep() {
+	for _, t := range r.open {
+		if t.state == open && t.ended > 0 && r.now-t.ended > silentAfter {
+			r.do(EndTerminal{Of: t.from, How: Closed})
+			r.abandon(t)
+			continue
+		}
+		if t.state != open || t.askedAt == 0 {
+			continue
+		}
+		if waits := r.now - t.askedAt; waits > silentAfter {
+			r.Counters.Silent++
+			r.sendAway(t)
+		} else if waits > r.delayAim {
+			r.delay(t, waits)
+		}
+	}
+	if r.watching && r.watchUp && r.now-r.watchHeard > watchSilent {
+		r.watchEnded()
+	}
+}
--- /dev/null
+++ b/internal/net/config.go
@@ -0,0 +1,112 @@
+// What a balancer is told at its start. This file owns the form of PROXY_CONFIG and of the variables
+// beside it, and names the field that is wrong; it must never fill in a figure that a rule hangs on.
+
+package net
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	stdnet "net"
+	"os"
+	"strconv"
+	"time"
+
+	"oatloft/internal/core"
+	"oatloft/internal/platform"
+	"oatloft/internal/settings"
+	"oatloft/policy"
+)
+
+// Config is what one balancer needs to start.
+type Config struct {
+	Name, Listen, Discovery string
+	MemoryMB, Sockets       int
+	Cores                   float64
+	Core                    core.Config
+	Known                   *core.Listed
+	Zero                    time.Time // the balancer's clock counts from here
+}
+
+type configFile struct {
+	Name      string `json:"name"`
+	Listen    string `json:"listen"`
+	Discovery string `json:"discovery"`
+	Seed      string `json:"seed"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Known    json.RawMessage `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+}
+
+// LoadConfig reads the configuration at path. Addresses and the name given beside it win.
+func LoadConfig(path, name, listen, discovery string) (Config, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	return ParseConfig(body, name, listen, discovery)
+}
+
+// ParseConfig reads a configuration.
+func ParseConfig(body []byte, name, listen, discovery string) (Config, error) {
+	var file configFile
+	if err := json.Unmarshal(body, &file); err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	c := Config{Name: either(name, file.Name), Listen: either(listen, file.Listen),
+		Discovery: either(discovery, file.Discovery), MemoryMB: file.Limits.MemoryMB,
+		Sockets: file.Limits.Sockets, Cores: file.Limits.Cores,
+		// An hour of slack: whatever started within it has a time of start after the clock's zero.
+		Zero: time.Now().Add(-time.Hour)}
+	for _, a := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
+		if _, err := stdnet.ResolveTCPAddr("tcp", a.value); err != nil || a.value == "" {
+			return c, fmt.Errorf("%s: %q is not host:port", a.field, a.value)
+		}
+	}
+	if c.MemoryMB < 0 || c.Sockets < 0 || c.Cores < 0 {
+		return c, fmt.Errorf("limits: negative figures")
+	}
+	seed, err := strconv.ParseUint(file.Seed, 16, 64)
+	if err != nil {
+		return c, fmt.Errorf("seed: %q is not hex digits", file.Seed)
+	}
+	if len(file.Settings) == 0 || bytes.Equal(file.Settings, []byte("null")) {
+		return c, fmt.Errorf("settings: missing")
+	}
+	f, err := settings.Flatten(file.Settings)
+	if err != nil {
+		return c, err
+	}
+	c.Core = core.Config{Policy: settings.Config(f), Seed: int64(seed),
+		ConnectTimeout: f.Millis("limits.connect-timeout-ms"), PassThrough: f.Text("family-info.mode") == "pass",
+		ProbeTimeout: 300 * time.Millisecond}
+	if f.Err != nil {
+		return c, fmt.Errorf("settings: %w", f.Err)
+	}
+	if c.Core.ConnectTimeout <= 0 {
+		return c, fmt.Errorf("settings: limits.connect-timeout-ms: missing")
+	}
+	if _, err := core.New(c.Core); err != nil {
+		return c, err
+	}
+	if len(file.Known) > 0 && !bytes.Equal(file.Known, []byte("null")) {
+		known, err := platform.ParseList(file.Known, c.Zero)
+		if err != nil {
+			return c, fmt.Errorf("known: %w", err)
+		}
+		known.Kind = policy.ListCached
+		c.Known = &known
+	}
+	return c, nil
+}
+
+func either(a, b string) string {
+	if a != "" {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/net/link.go
@@ -0,0 +1,454 @@
+// Package net owns the sockets: nbio's engine, its callbacks, and the links that they serve (this file);
+// the loop that feeds the reducer and carries its effects out (server.go); and what a balancer is told at
+// its start (config.go). It must never decide anything, and must never let a callback touch what belongs
+// to the reducer's goroutine: callbacks only post events.
+package net
+
+import (
+	"errors"
+	"io"
+	stdnet "net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+	"unsafe"
+
+	"github.com/lesismal/nbio"
+)
+
+type role uint8
+
+const (
+	terminalRole role = iota
+	taskRole
+	probeRole
+	watchRole
+)
+
+type linkState uint8
+
+const (
+	dialing linkState = iota
+	live
+	finishing // no more is written; what still comes is read and dropped until the other side has ended
+	ended
+)
+
+// link is one connection. Its first part belongs to the reducer's goroutine, the rest to whoever holds mu.
+type link struct {
+	s       *Server
+	role    role
+	term    *terminal
+	attempt int
+	region  string
+	endBy   time.Time // finishing: closed by force then
+
+	mu      sync.Mutex
+	state   linkState
+	c       *nbio.Conn
+	tail    *tail // writes once the other side has closed its sending
+	paused  bool  // reading waits for room on the other side, or in the queue
+	finWant bool  // FIN follows what is buffered
+
+	handed, written atomic.Int64 // bytes
+	want            atomic.Bool  // an evFlushed is wanted when all that was handed over is written
+}
+
+type eventKind uint8
+
+const (
+	evOpened eventKind = iota
+	evData
+	evEnded
+	evBroken
+	evConnected
+	evRefused
+	evFlushed
+)
+
+type event struct {
+	kind eventKind
+	link *link
+	data *[]byte
+}
+
+// queue carries events from the callbacks to the reducer's goroutine. It never makes a callback wait;
+// when it is long, callbacks leave what they could read in the socket.
+type queue struct {
+	mu      sync.Mutex
+	list    []event
+	starved []*link
+	bell    chan struct{}
+}
+
+const longQueue = 2048
+
+func (q *queue) post(e event) {
+	q.mu.Lock()
+	q.list = append(q.list, e)
+	q.mu.Unlock()
+	select {
+	case q.bell <- struct{}{}:
+	default:
+	}
+}
+
+// full tells whether l has to wait; it is read again when the queue has been worked off.
+func (q *queue) full(l *link) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if len(q.list) < longQueue {
+		return false
+	}
+	q.starved = append(q.starved, l)
+	return true
+}
+
+func (q *queue) take(into []event) ([]event, []*link) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	list, starved := q.list, q.starved
+	q.list, q.starved = into[:0], nil
+	return list, starved
+}
+
+const readSize = 8 << 10
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, readSize); return &b }}
+
+func release(b *[]byte) {
+	*b = (*b)[:cap(*b)]
+	buffers.Put(b)
+}
+
+// onRead is nbio's callback for bytes, ends and errors. nbio itself closes a connection as soon as the
+// other side has closed its sending (poller_epoll.go, epollEventsError holds EPOLLRDHUP), and would drop
+// what is still to be written to it; so the read that meets the end must hand such a socket on before
+// it returns.
+func (s *Server) onRead(c *nbio.Conn) {
+	l, _ := c.Session().(*link)
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.c != c || l.state == ended {
+		return
+	}
+	if l.state == live && (l.paused || s.queue.full(l)) && !hasFin(c) {
+		return
+	}
+	l.read(true)
+}
+
+// read takes in what the socket holds. Only the poller's goroutine may end the link: nbio reuses a
+// descriptor's number at once, and events that it has fetched but not yet handled would hit the newcomer.
+func (l *link) read(poller bool) {
+	for {
+		buf := buffers.Get().(*[]byte)
+		n, err := l.c.Read(*buf)
+		if n > 0 {
+			*buf = (*buf)[:n]
+			if l.state != live {
+				release(buf)
+				continue
+			}
+			l.s.queue.post(event{kind: evData, link: l, data: buf})
+			continue
+		}
+		release(buf)
+		switch {
+		case errors.Is(err, syscall.EINTR):
+			continue
+		case errors.Is(err, syscall.EAGAIN) || !poller:
+			return
+		case l.state == finishing:
+			l.state = ended
+		case err != nil:
+			l.state = ended
+			l.s.queue.post(event{kind: evBroken, link: l})
+		default:
+			l.s.queue.post(event{kind: evEnded, link: l})
+			if l.role == terminalRole && l.handOver() {
+				return
+			}
+			l.state = ended
+		}
+		_ = l.c.Close()
+		return
+	}
+}
+
+// resume reads on after a pause.
+func (l *link) resume() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.paused = false
+	if l.state == live && l.c != nil {
+		l.read(false)
+	}
+}
+
+func (l *link) pause() {
+	l.mu.Lock()
+	l.paused = true
+	l.mu.Unlock()
+}
+
+// write hands bytes over. What the socket doesn't take at once is copied by nbio (or the tail).
+func (l *link) write(b []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state != live || l.finWant || len(b) == 0 {
+		return
+	}
+	l.handed.Add(int64(len(b)))
+	if l.tail != nil {
+		l.tail.push(b)
+		return
+	}
+	if _, err := l.c.Write(b); err != nil {
+		l.state = ended
+		l.s.queue.post(event{kind: evBroken, link: l})
+	}
+}
+
+// backlog is how much was handed over and has not left yet.
+func (l *link) backlog() int64 { return l.handed.Load() - l.written.Load() }
+
+// flushed tells whether all has left; if not, an event follows when it has.
+func (l *link) flushed() bool {
+	if l.backlog() == 0 {
+		return true
+	}
+	l.want.Store(true)
+	return l.backlog() == 0 && l.want.Swap(false)
+}
+
+// wrote is told by nbio what has really left, and by the tail.
+func (l *link) wrote(n int) {
+	if l.written.Add(int64(n)); l.backlog() == 0 && l.want.Swap(false) {
+		l.s.queue.post(event{kind: evFlushed, link: l})
+	}
+}
+
+// fin sends FIN after what is buffered. With last, nothing more is taken from the other side either.
+func (l *link) fin(last bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state != live {
+		if l.state == dialing {
+			l.state = ended
+		}
+		return
+	}
+	l.finWant = true
+	if last {
+		l.state = finishing
+		l.endBy = time.Now().Add(time.Second)
+		l.s.finishing[l] = struct{}{}
+	}
+	if l.flushed() {
+		l.sendFin()
+	}
+	if last && l.c != nil && l.paused { // what the pause kept in the socket has to be read away
+		l.read(false)
+	}
+}
+
+func (l *link) sendFin() {
+	if l.tail != nil {
+		l.tail.close(l.state == finishing)
+		return
+	}
+	control(l.c, func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_WR) })
+}
+
+// onFlushed sends the FIN that waited for the last byte.
+func (l *link) onFlushed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.finWant && (l.state == live || l.state == finishing) {
+		l.sendFin()
+	}
+}
+
+// drop ends the link at once, and what is buffered with it. The poller closes the descriptor when it
+// meets the end that this makes.
+func (l *link) drop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.state == dialing:
+		l.state = ended // the dial's callback, or its time-out, closes it
+	case l.state == ended:
+	case l.tail != nil:
+		l.state = ended
+		l.tail.close(true)
+	default:
+		l.state = finishing
+		l.endBy = time.Now().Add(time.Second)
+		l.s.finishing[l] = struct{}{}
+		control(l.c, func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+	}
+}
+
+// reset ends the link with RST. Connecting to no address does that without closing the descriptor,
+// which the poller does on the hang-up that follows.
+func (l *link) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	switch {
+	case l.state == dialing || l.state == ended:
+	case l.tail != nil:
+		l.tail.reset()
+	default:
+		control(l.c, func(fd int) {
+			_ = syscall.SetsockoptLinger(fd, syscall.SOL_SOCKET, syscall.SO_LINGER, &syscall.Linger{Onoff: 1})
+			none := syscall.RawSockaddr{Family: syscall.AF_UNSPEC}
+			_, _, _ = syscall.Syscall(syscall.SYS_CONNECT, uintptr(fd), uintptr(unsafe.Pointer(&none)), unsafe.Sizeof(none))
+		})
+	}
+	l.state = ended
+}
+
+// force closes a finishing link whose other side doesn't end.
+func (l *link) force() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.state != finishing {
+		return
+	}
+	l.state = ended
+	if l.tail != nil {
+		l.tail.reset()
+	} else {
+		_ = l.c.Close()
+	}
+}
+
+func control(c *nbio.Conn, do func(fd int)) {
+	if raw, err := c.SyscallConn(); err == nil {
+		_ = raw.Control(func(fd uintptr) { do(int(fd)) })
+	}
+}
+
+// hasFin tells whether the other side has ended, though bytes from before may still wait to be read.
+func hasFin(c *nbio.Conn) (fin bool) {
+	control(c, func(fd int) {
+		state, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+		const established, synRecv = 1, 3
+		fin = err != nil || state&0xff != established && state&0xff != synRecv
+	})
+	return fin
+}
+
+// connectError is what became of a dial: nbio reports every one that ended as connected.
+func connectError(c *nbio.Conn) (err error) {
+	control(c, func(fd int) {
+		code, e := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ERROR)
+		if err = e; e == nil && code != 0 {
+			err = syscall.Errno(code)
+		}
+	})
+	return err
+}
+
+// tail writes to a terminal that has closed its sending, for which nbio has no use any more: the socket
+// lives on under a second descriptor, served by the standard library, nbio's own fallback.
+type tail struct {
+	l    *link
+	conn stdnet.Conn
+	mu   sync.Mutex
+	cond *sync.Cond
+	todo []byte
+	done bool
+}
+
+// handOver moves the socket from nbio to a tail. The unwritten rest stays with nbio and would be lost,
+// so a link with a backlog is ended instead.
+func (l *link) handOver() bool {
+	if l.backlog() > 0 {
+		return false
+	}
+	var conn stdnet.Conn
+	control(l.c, func(fd int) {
+		twin, err := syscall.Dup(fd)
+		if err != nil {
+			return
+		}
+		syscall.CloseOnExec(twin)
+		f := os.NewFile(uintptr(twin), "terminal")
+		defer func() { _ = f.Close() }()
+		if c, err := stdnet.FileConn(f); err == nil {
+			conn = c
+		}
+	})
+	if conn == nil {
+		return false
+	}
+	l.tail = &tail{l: l, conn: conn}
+	l.tail.cond = sync.NewCond(&l.tail.mu)
+	l.s.sockets.Add(1)
+	go l.tail.run()
+	c := l.c
+	l.c = nil
+	_ = c.Close()
+	return true
+}
+
+func (t *tail) push(b []byte) {
+	t.mu.Lock()
+	t.todo = append(t.todo, b...)
+	t.mu.Unlock()
+	t.cond.Signal()
+}
+
+// close ends the writing; the descriptor goes with it, since nothing more can be read either.
+func (t *tail) close(bool) {
+	t.mu.Lock()
+	t.done = true
+	t.mu.Unlock()
+	t.cond.Signal()
+}
+
+func (t *tail) reset() {
+	if c, ok := t.conn.(*stdnet.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = t.conn.SetWriteDeadline(time.Now())
+	t.close(true)
+}
+
+func (t *tail) run() {
+	defer t.l.s.sockets.Add(-1)
+	for {
+		t.mu.Lock()
+		for len(t.todo) == 0 && !t.done {
+			t.cond.Wait()
+		}
+		todo, done := t.todo, t.done
+		t.todo = nil
+		t.mu.Unlock()
+		if len(todo) > 0 {
+			n, err := t.conn.Write(todo)
+			t.l.wrote(n)
+			if err != nil {
+				t.l.s.queue.post(event{kind: evBroken, link: t.l})
+				_ = t.conn.Close()
+				return
+			}
+			continue
+		}
+		if done {
+			if c, ok := t.conn.(*stdnet.TCPConn); ok {
+				_ = c.CloseWrite()
+			}
+			_, _ = io.Copy(io.Discard, t.conn)
+			_ = t.conn.Close()
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/net/server.go
@@ -0,0 +1,731 @@
+// The loop between sockets and reducer. This file owns the terminals, the routed tasks' links, probes and
+// the watch, all on one goroutine: what a link brings becomes a reducer's event by way of the platform's
+// parsers, and each effect becomes bytes. It must never keep anything back or send anything unasked.
+
+package net
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"runtime"
+	"runtime/debug"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"oatloft/internal/core"
+	"oatloft/internal/platform"
+	"oatloft/policy"
+)
+
+const (
+	fullAt    = 64 << 10 // a link with more than this to write stops the other side's reading ...
+	roomAt    = 16 << 10 // ... until it has less than this
+	reserve   = 48       // descriptors kept for what is not a terminal or a routed task
+	moveWait  = time.Second
+	dialLonge = 50 * time.Millisecond // dialing sockets outlive the reducer's patience by this
+)
+
+// terminal is one client connection, on the reducer's goroutine.
+type terminal struct {
+	handle     core.Handle
+	l, task    *link
+	begun      []byte // of a line that came in parts
+	open       platform.Open
+	asked      bool // the first line is taken
+	up         bool
+	over       bool // nothing more is owed nor passed
+	answer     []byte
+	fromRegion platform.Scan
+	toRegion   platform.Scan
+	last       platform.Word // closing line of the region
+	moveBy     time.Time     // to be moved at the next end of a line; by then at the latest
+	full       [2]bool       // the way to the terminal, to the region
+}
+
+type probe struct {
+	l     *link
+	addr  string
+	busy  bool
+	due   time.Time
+	begun []byte
+}
+
+// Server is a running balancer.
+type Server struct {
+	cfg     Config
+	engine  *nbio.Engine
+	queue   queue
+	core    *core.Reducer
+	sockets atomic.Int64
+
+	terminals map[core.Handle]*terminal
+	next      core.Handle
+	probes    map[string]*probe
+	watch     *link
+	watchIn   platform.WatchReader
+	watchSeq  int64
+	finishing map[*link]struct{}
+	moving    map[*terminal]struct{}
+	effects   []core.Effect
+	out       []byte
+	batch     []event
+	exit      bool
+	limit     int64
+	counters  struct {
+		Accepted, LinesIn, BytesToRegions, BytesToTerminals, Pings, Malformed, NoRoom int64
+	}
+	log io.Writer
+}
+
+// New prepares a balancer and listens on its address.
+func New(cfg Config, log io.Writer) (*Server, error) {
+	r, err := core.New(cfg.Core)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{cfg: cfg, core: r, terminals: map[core.Handle]*terminal{}, probes: map[string]*probe{},
+		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log,
+		queue: queue{bell: make(chan struct{}, 1)}}
+	s.limit = openFiles(cfg.Sockets)
+	logging.SetLevel(logging.LevelNone)
+	nbio.MaxOpenFiles = int(s.limit) + 4096
+	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
+		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024})
+	s.engine.OnOpen(func(c *nbio.Conn) {
+		l := &link{s: s, role: terminalRole, c: c, state: live}
+		c.SetSession(l)
+		s.sockets.Add(1)
+		s.queue.post(event{kind: evOpened, link: l})
+	})
+	s.engine.OnRead(s.onRead)
+	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
+		if l, ok := c.Session().(*link); ok {
+			l.wrote(n)
+		}
+	})
+	s.engine.OnClose(func(c *nbio.Conn, _ error) { s.onClose(c) })
+	return s, nil
+}
+
+// openFiles is how many descriptors there may be, by configuration and by the system.
+func openFiles(limit int) int64 {
+	var r syscall.Rlimit
+	n := int64(1024)
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+		n = int64(min(r.Cur, 1<<20))
+	}
+	if limit > 0 {
+		n = min(n, int64(limit))
+	}
+	return n
+}
+
+// onClose is nbio's last word on a connection: it tells of ends that no read met.
+func (s *Server) onClose(c *nbio.Conn) {
+	s.sockets.Add(-1)
+	l, _ := c.Session().(*link)
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.c == c && l.state == live {
+		l.state = ended
+		s.queue.post(event{kind: evBroken, link: l})
+	}
+}
+
+// SetLimits fits the Go runtime to the machine that the configuration describes.
+func (c Config) SetLimits() {
+	runtime.GOMAXPROCS(max(1, int(c.Cores+0.5)))
+	if c.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(c.MemoryMB) << 20 * 6 / 10)
+	}
+}
+
+func (s *Server) now() time.Duration { return time.Since(s.cfg.Zero) }
+
+// Run serves until the reducer says that all is done. leave and report are the operator's signals.
+func (s *Server) Run(leave, report <-chan struct{}) error {
+	if s.cfg.Known != nil {
+		s.step(*s.cfg.Known)
+	}
+	if err := s.engine.Start(); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	tick := time.NewTicker(core.TickEvery)
+	defer tick.Stop()
+	for !s.exit {
+		select {
+		case <-s.queue.bell:
+		case <-tick.C:
+			s.step(core.Tick{})
+			s.ticked(time.Now())
+		case <-leave:
+			leave = nil
+			s.step(core.Leave{})
+		case <-report:
+			s.Report()
+		}
+		s.work()
+	}
+	s.Report()
+	return nil
+}
+
+// Report prints the counters as one line of JSON.
+func (s *Server) Report() {
+	line, err := json.Marshal(map[string]any{"name": s.cfg.Name, "sockets": s.sockets.Load(),
+		"open": s.core.Open(), "owed": s.core.Owed(), "core": s.core.Counters, "net": s.counters})
+	if err == nil {
+		fmt.Fprintf(s.log, "counters %s\n", line)
+	}
+}
+
+// work handles what the callbacks have posted.
+func (s *Server) work() {
+	for {
+		batch, starved := s.queue.take(s.batch)
+		s.batch = batch
+		for i, e := range batch {
+			s.handle(e)
+			batch[i] = event{}
+		}
+		for _, l := range starved {
+			l.mu.Lock()
+			paused := l.paused
+			l.mu.Unlock()
+			if !paused {
+				l.resume()
+			}
+		}
+		if len(batch) == 0 {
+			return
+		}
+	}
+}
+
+func (s *Server) handle(e event) {
+	l := e.link
+	switch e.kind {
+	case evFlushed:
+		l.onFlushed()
+		s.flushed(l)
+		return
+	case evOpened:
+		s.accepted(l)
+		return
+	case evData:
+		defer release(e.data)
+	}
+	switch l.role {
+	case terminalRole:
+		s.fromTerminal(l.term, e)
+	case taskRole:
+		s.fromRegion(l.term, l, e)
+	case probeRole:
+		s.fromProbe(s.probes[l.region], l, e)
+	case watchRole:
+		if l == s.watch {
+			s.fromWatch(l, e)
+		}
+	}
+}
+
+func (s *Server) accepted(l *link) {
+	s.counters.Accepted++
+	s.next++
+	t := &terminal{handle: s.next, l: l}
+	l.term = t
+	s.terminals[t.handle] = t
+}
+
+func (s *Server) fromTerminal(t *terminal, e event) {
+	switch e.kind {
+	case evData:
+		switch {
+		case t.over:
+		case t.up:
+			seen := t.toRegion.Read(*e.data)
+			s.counters.LinesIn += int64(seen.Lines)
+			s.step(core.Passed{Of: t.handle, Bytes: core.Bytes{Data: *e.data, Lines: seen.Lines}})
+		default:
+			s.firstLine(t, *e.data)
+		}
+	case evEnded, evBroken:
+		how := core.Closed
+		if e.kind == evBroken {
+			how = core.Broken
+		}
+		switch {
+		case t.over:
+		case t.asked:
+			s.step(core.TerminalEnded{From: t.handle, How: how})
+		case how == core.Closed && len(t.begun) > 0:
+			s.invalid(t) // half a line, and no more will come
+		default:
+			s.closeTerminal(t, core.Closed)
+		}
+		if how == core.Broken {
+			t.over = true
+			delete(s.terminals, t.handle)
+		}
+	}
+}
+
+func (s *Server) firstLine(t *terminal, data []byte) {
+	if t.asked { // it had to wait for its answer
+		s.invalid(t)
+		return
+	}
+	if len(t.begun) > 0 {
+		t.begun = append(t.begun, data...)
+		data = t.begun
+	}
+	for len(data) > 0 {
+		line, tooLong := platform.Cut(data)
+		switch {
+		case tooLong:
+			s.invalid(t)
+			return
+		case line == nil:
+			t.begun = append([]byte(nil), data...)
+			return
+		case platform.IsPing(line):
+			s.counters.Pings++
+			t.l.write(platform.Pong)
+			data = data[len(line):]
+			continue
+		}
+		open, err := platform.ParseOpen(line)
+		if err != nil || len(data) > len(line) {
+			s.invalid(t)
+			return
+		}
+		s.counters.LinesIn++
+		t.begun, t.asked = nil, true
+		open.Keep()
+		t.open = open
+		if s.sockets.Load() > s.limit-reserve {
+			s.counters.NoRoom++
+			t.over = true
+			s.finalAnswer(t, platform.AppendShort(nil, 0))
+			return
+		}
+		s.step(core.Opened{From: t.handle, Request: open.Request, At: open.At})
+		return
+	}
+	t.begun = nil
+}
+
+func (s *Server) invalid(t *terminal) {
+	s.counters.Malformed++
+	t.asked = true
+	s.step(core.Invalid{From: t.handle})
+}
+
+func (s *Server) finalAnswer(t *terminal, line []byte) {
+	t.l.write(line)
+	s.closeTerminal(t, core.Closed)
+}
+
+func (s *Server) closeTerminal(t *terminal, how core.Ending) {
+	t.over = true
+	delete(s.terminals, t.handle)
+	delete(s.moving, t)
+	if how == core.Broken {
+		t.l.reset()
+	} else {
+		t.l.fin(true)
+	}
+}
+
+// fromRegion reads a routed task's answer, and passes on what follows it.
+func (s *Server) fromRegion(t *terminal, l *link, e event) {
+	if t.task != l {
+		return
+	}
+	switch e.kind {
+	case evConnected:
+		s.step(core.Connected{Of: t.handle, Attempt: l.attempt})
+	case evRefused:
+		t.task = nil
+		s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: core.Refused})
+	case evEnded, evBroken:
+		how := core.Closed
+		if e.kind == evBroken {
+			how = core.Broken
+		}
+		switch t.last {
+		case platform.Bye:
+			how = core.Finished
+		case platform.MoveAway:
+			how = core.MovedAway
+		}
+		s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: how})
+	case evData:
+		data := *e.data
+		if !t.up {
+			if len(t.answer) > 0 {
+				t.answer = append(t.answer, data...)
+				data = t.answer
+			}
+			line, tooLong := platform.Cut(data)
+			if line == nil && !tooLong {
+				t.answer = append([]byte(nil), data...)
+				return
+			}
+			t.answer = nil
+			how := core.Erred
+			switch platform.WordOf(line) {
+			case platform.Up:
+				t.up = true
+				seen := t.fromRegion.Read(data[len(line):])
+				t.last = seen.Last
+				s.step(core.Up{Of: t.handle, Attempt: l.attempt,
+					Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+				return
+			case platform.Busy:
+				how = core.TurnedAway
+			case platform.Bye:
+				how = core.Finished
+			case platform.MoveAway:
+				how = core.MovedAway
+			}
+			s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: how})
+			return
+		}
+		s.pass(t, data)
+	}
+}
+
+// pass hands on a region's bytes. A terminal that is to be moved gets no byte behind the next line's end.
+func (s *Server) pass(t *terminal, data []byte) {
+	if !t.moveBy.IsZero() {
+		for i, c := range data {
+			if c == '\n' {
+				t.l.write(data[:i+1])
+				s.moveNow(t)
+				return
+			}
+		}
+		t.l.write(data)
+		return
+	}
+	seen := t.fromRegion.Read(data)
+	if seen.Last != platform.Line {
+		t.last = seen.Last
+	}
+	s.step(core.Passed{Of: t.handle, FromRegion: true,
+		Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+}
+
+func (s *Server) moveNow(t *terminal) {
+	t.l.write(platform.Move)
+	s.closeTerminal(t, core.Closed)
+	if t.task != nil {
+		t.task.drop()
+		t.task = nil
+	}
+}
+
+// flushed follows a link that has written all it was given.
+func (s *Server) flushed(l *link) {
+	t := l.term
+	if t == nil {
+		return
+	}
+	if l.role == taskRole && t.task == l && !t.up {
+		s.step(core.Sent{Of: t.handle, Attempt: l.attempt})
+	}
+	s.flow(t)
+}
+
+// flow stops the reading of a side while the way to the other is full.
+func (s *Server) flow(t *terminal) {
+	for i, l := range []*link{t.l, t.task} {
+		if l == nil {
+			continue
+		}
+		switch b := l.backlog(); {
+		case !t.full[i] && b > fullAt:
+			t.full[i] = true
+			l.flushed() // asks to be told when all has left
+			s.step(core.Flow{Of: t.handle, ToRegion: i == 1, Full: true})
+		case t.full[i] && b < roomAt:
+			t.full[i] = false
+			s.step(core.Flow{Of: t.handle, ToRegion: i == 1})
+		}
+	}
+}
+
+// step feeds the reducer and carries out its effects; effects that make events feed it again.
+func (s *Server) step(ev core.Event) {
+	base := len(s.effects)
+	s.effects = s.core.Step(s.now(), ev, s.effects)
+	for i := base; i < len(s.effects); i++ {
+		e := s.effects[i]
+		s.effects[i] = nil
+		s.carryOut(e)
+	}
+	s.effects = s.effects[:base]
+}
+
+func (s *Server) carryOut(e core.Effect) {
+	switch e := e.(type) {
+	case core.Dial:
+		if t := s.terminals[e.Of]; t != nil {
+			t.answer, t.last, t.fromRegion = nil, platform.Line, platform.Scan{}
+			t.task = &link{s: s, role: taskRole, term: t, attempt: e.Attempt, region: e.Region}
+			s.dial(t.task, e.Addr, s.cfg.Core.ConnectTimeout+dialLonge)
+		}
+	case core.SendLine:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil {
+			s.out = t.open.AppendLine(s.out[:0], e.Left)
+			t.task.write(s.out)
+			if t.task.flushed() {
+				s.step(core.Sent{Of: e.Of, Attempt: e.Attempt})
+			}
+		}
+	case core.DropTask:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil && t.task.attempt == e.Attempt {
+			t.task.drop()
+			t.task = nil
+		}
+	case core.Answer:
+		if t := s.terminals[e.To]; t != nil {
+			line := platform.Failed
+			if e.Short {
+				s.out = platform.AppendShort(s.out[:0], e.After)
+				line = s.out
+			}
+			s.finalAnswer(t, line)
+		}
+	case core.Pass:
+		t := s.terminals[e.Of]
+		if t == nil {
+			return
+		}
+		if e.ToRegion {
+			s.counters.BytesToRegions += int64(len(e.Data))
+			if t.task != nil {
+				t.task.write(e.Data)
+			}
+		} else {
+			s.counters.BytesToTerminals += int64(len(e.Data))
+			t.l.write(e.Data)
+		}
+		s.flow(t)
+	case core.Hold:
+		t := s.terminals[e.Of]
+		if t == nil {
+			return
+		}
+		l := t.l
+		if e.OfRegion {
+			l = t.task
+		}
+		if l != nil && e.On {
+			l.pause()
+		} else if l != nil {
+			l.resume()
+		}
+	case core.EndRegion:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil {
+			if e.How == core.Broken {
+				t.task.reset()
+			} else {
+				t.task.fin(false)
+			}
+		}
+	case core.EndTerminal:
+		if t := s.terminals[e.Of]; t != nil {
+			s.closeTerminal(t, e.How)
+			if t.task != nil {
+				t.task.drop()
+			}
+		}
+	case core.MoveTerminal:
+		if t := s.terminals[e.Of]; t != nil {
+			if t.fromRegion.Between() {
+				s.moveNow(t)
+			} else {
+				t.moveBy = time.Now().Add(moveWait)
+				s.moving[t] = struct{}{}
+			}
+		}
+	case core.Probe:
+		s.probe(e)
+	case core.ForgetRegion:
+		if p := s.probes[e.Region]; p != nil {
+			if p.l != nil {
+				p.l.drop()
+			}
+			delete(s.probes, e.Region)
+		}
+	case core.Watch:
+		s.unwatch()
+		s.watch, s.watchSeq = &link{s: s, role: watchRole}, e.Seq
+		s.watchIn = platform.WatchReader{Zero: s.cfg.Zero}
+		s.dial(s.watch, s.cfg.Discovery, 2*time.Second)
+	case core.Unwatch:
+		s.unwatch()
+	case core.Exit:
+		s.exit = true
+	}
+}
+
+// dial opens a link; an event tells what became of it, on whichever goroutine nbio finds out.
+func (s *Server) dial(l *link, addr string, timeout time.Duration) {
+	if s.sockets.Load() > s.limit-reserve/2 {
+		s.queue.post(event{kind: evRefused, link: l})
+		return
+	}
+	s.sockets.Add(1)
+	err := s.engine.DialAsyncTimeout("tcp", addr, timeout, func(c *nbio.Conn, err error) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if err == nil {
+			err = connectError(c)
+		}
+		if err != nil || l.state != dialing {
+			if l.state == dialing {
+				l.state = ended
+				s.queue.post(event{kind: evRefused, link: l})
+			}
+			_ = c.Close()
+			return
+		}
+		_ = c.SetNoDelay(true)
+		l.c, l.state = c, live
+		c.SetSession(l)
+		s.queue.post(event{kind: evConnected, link: l})
+	})
+	if err != nil {
+		s.sockets.Add(-1)
+		l.mu.Lock()
+		l.state = ended
+		l.mu.Unlock()
+		s.queue.post(event{kind: evRefused, link: l})
+	}
+}
+
+// probe asks for a load report, over the region's one connection for that.
+func (s *Server) probe(e core.Probe) {
+	p := s.probes[e.Region]
+	if p == nil {
+		p = &probe{}
+		s.probes[e.Region] = p
+	}
+	if p.l != nil && p.addr != e.Addr {
+		p.l.drop()
+		p.l = nil
+	}
+	p.busy, p.due, p.addr, p.begun = true, time.Now().Add(e.Timeout), e.Addr, nil
+	if p.l == nil {
+		p.l = &link{s: s, role: probeRole, region: e.Region}
+		s.dial(p.l, e.Addr, e.Timeout)
+		return
+	}
+	p.l.write(platform.Stats)
+}
+
+func (s *Server) fromProbe(p *probe, l *link, e event) {
+	if p == nil || p.l != l {
+		return
+	}
+	switch e.kind {
+	case evConnected:
+		l.write(platform.Stats)
+	case evRefused:
+		s.probed(l.region, p, policy.Unreachable, nil)
+	case evEnded, evBroken:
+		s.probed(l.region, p, policy.Reset, nil)
+	case evData:
+		p.begun = append(p.begun, *e.data...)
+		line, tooLong := platform.Cut(p.begun)
+		switch {
+		case tooLong:
+			s.probed(l.region, p, policy.Failed, nil)
+		case line == nil:
+		case platform.WordOf(line) == platform.PongBack:
+			s.probed(l.region, p, policy.OK, platform.ParseStats(line))
+		case platform.WordOf(line) == platform.Busy:
+			s.probed(l.region, p, policy.Full, nil)
+		default:
+			s.probed(l.region, p, policy.Failed, nil)
+		}
+	}
+}
+
+// probed reports a probe's result. The connection stays only where it was answered in good order.
+func (s *Server) probed(region string, p *probe, result policy.Result, report *policy.Report) {
+	if result != policy.OK {
+		p.l.drop()
+		p.l = nil
+	}
+	if p.begun = nil; p.busy {
+		p.busy = false
+		s.step(core.Probed{Region: region, Result: result, Report: report})
+	}
+}
+
+func (s *Server) unwatch() {
+	if s.watch != nil {
+		s.watch.drop()
+		s.watch = nil
+	}
+}
+
+func (s *Server) fromWatch(l *link, e event) {
+	switch e.kind {
+	case evConnected:
+		l.write(platform.AppendWatch(nil, s.cfg.Discovery, s.watchSeq))
+	case evRefused, evEnded, evBroken:
+		s.watch = nil
+		s.step(core.WatchEnded{})
+	case evData:
+		err := s.watchIn.Read(*e.data, func(list *core.Listed) {
+			if list == nil {
+				s.step(core.WatchAlive{})
+			} else {
+				s.step(*list)
+			}
+		})
+		if err != nil && l == s.watch {
+			s.unwatch()
+			s.step(core.WatchEnded{})
+		}
+	}
+}
+
+// ticked does what sockets need by the clock.
+func (s *Server) ticked(now time.Time) {
+	for region, p := range s.probes {
+		if p.busy && now.After(p.due) {
+			s.probed(region, p, policy.TimedOut, nil)
+		}
+	}
+	for t := range s.moving {
+		if now.After(t.moveBy) {
+			s.moveNow(t)
+		}
+	}
+	for l := range s.finishing {
+		l.mu.Lock()
+		over := l.state == ended
+		l.mu.Unlock()
+		if !over && now.After(l.endBy) {
+			l.force()
+			over = true
+		}
+		if over {
+			delete(s.finishing, l)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/lines.go
@@ -0,0 +1,219 @@
+// Package platform owns how the platform's messages look: the lines between terminals, the balancer and
+// the regions in this file, and discovery's HTTP in discovery.go. It turns bytes into values and values
+// into bytes, as slices of the buffer they came in. It must never keep state of a transaction, open a
+// connection or decide anything; a second front would stand beside it and speak to the same core.
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"math"
+	"strconv"
+	"time"
+
+	"oatloft/policy"
+)
+
+// MaxLine is how long a line may be, its end included.
+const MaxLine = 4096
+
+// The lines that the balancer itself sends.
+var (
+	Pong   = []byte("PONG\r\n")
+	Failed = []byte("ERR\r\n")
+	Move   = []byte("MOVE\r\n")
+	Stats  = []byte("STATS\r\n")
+)
+
+// ErrMalformed tells of a first line in a form that no terminal sends.
+var ErrMalformed = errors.New("malformed first line")
+
+// Open is a terminal's first line.
+type Open struct {
+	policy.Request
+	At       string // the region that held the connection before the run
+	left     [2]int // where the time that the terminal waits stands in the line
+	template []byte // the line; shared with the buffer until Keep
+}
+
+// Cut returns the first whole line of data, its end included, or nil; tooLong tells that what is there
+// can't become a line.
+func Cut(data []byte) (line []byte, tooLong bool) {
+	i := bytes.IndexByte(data, '\n')
+	if i < 0 {
+		return nil, len(data) >= MaxLine
+	}
+	return data[:i+1], i+1 > MaxLine
+}
+
+func trim(line []byte) []byte { return bytes.TrimRight(line, "\r\n") }
+
+// IsPing tells of the front's question whether the balancer is there.
+func IsPing(line []byte) bool { return string(trim(line)) == "PING" }
+
+// ParseOpen reads a first line.
+func ParseOpen(line []byte) (Open, error) {
+	o := Open{template: line}
+	if !bytes.HasSuffix(line, []byte("\r\n")) || bytes.IndexByte(trim(line), '\r') >= 0 {
+		return o, ErrMalformed
+	}
+	parts := bytes.SplitN(trim(line), []byte(" "), 4)
+	if len(parts) != 4 || string(parts[0]) != "OPEN" || len(parts[1]) == 0 || len(parts[2]) == 0 ||
+		bytes.IndexByte(parts[3], ' ') >= 0 {
+		return o, ErrMalformed
+	}
+	o.ID, o.Key = string(parts[1]), string(parts[2])
+	at := len(trim(line)) - len(parts[3])
+	for rest := parts[3]; len(rest) > 0; {
+		pair := rest
+		if i := bytes.IndexByte(rest, ','); i >= 0 {
+			pair, rest = rest[:i], rest[i+1:]
+		} else {
+			rest = nil
+		}
+		name, value, ok := bytes.Cut(pair, []byte("="))
+		if !ok || len(name) == 0 {
+			return o, ErrMalformed
+		}
+		switch string(name) {
+		case "c":
+			o.Class = string(value)
+		case "t":
+			o.Tenant = string(value)
+		case "g":
+			o.Group = string(value)
+		case "at":
+			o.At = string(value)
+		case "mid":
+			o.MidFlow = string(value) == "1"
+		case "d":
+			ms, err := strconv.ParseFloat(string(value), 64)
+			if err != nil || !(ms >= 0 && ms <= 1e9) || o.left[1] > 0 {
+				return o, ErrMalformed
+			}
+			o.Patience = time.Duration(ms * float64(time.Millisecond))
+			o.left = [2]int{at + 2, at + len(pair)}
+		}
+		at += len(pair) + 1
+	}
+	if o.Class == "" || o.left[1] == 0 {
+		return o, ErrMalformed
+	}
+	return o, nil
+}
+
+// Keep copies the line, which has to outlive the buffer that it was read into.
+func (o *Open) Keep() { o.template = bytes.Clone(o.template) }
+
+// AppendLine appends the first line as it came, but for the time left.
+func (o *Open) AppendLine(dst []byte, left time.Duration) []byte {
+	dst = append(dst, o.template[:o.left[0]]...)
+	dst = strconv.AppendInt(dst, max(0, left.Milliseconds()), 10)
+	return append(dst, o.template[o.left[1]:]...)
+}
+
+// AppendShort appends the short-on-capacity reply.
+func AppendShort(dst []byte, after time.Duration) []byte {
+	dst = append(dst, "BUSY"...)
+	if after > 0 {
+		dst = strconv.AppendInt(append(dst, ' '), max(1, after.Milliseconds()), 10)
+	}
+	return append(dst, "\r\n"...)
+}
+
+// Word says what a region's line means.
+type Word int
+
+// The words. Line is any other.
+const (
+	Line Word = iota
+	Up
+	Bye
+	MoveAway
+	Err
+	Busy
+	Load
+	PongBack
+)
+
+var words = map[string]Word{"UP": Up, "BYE": Bye, "MOVE": MoveAway, "ERR": Err, "BUSY": Busy, "LOAD": Load, "PONG": PongBack}
+
+// WordOf reads a region's line, whole or without its end.
+func WordOf(line []byte) Word {
+	word, _, _ := bytes.Cut(trim(line), []byte(" "))
+	return words[string(word)]
+}
+
+// ParseStats reads the load report behind an answer; nil where there is none. Columns are mapped as on
+// the bench's wire, and those that mean nothing to the module are passed over.
+func ParseStats(line []byte) *policy.Report {
+	_, rest, _ := bytes.Cut(trim(line), []byte(" "))
+	if len(rest) == 0 {
+		return nil
+	}
+	r := &policy.Report{Load: -1, Busy: -1, InFlight: -1, Backlog: -1}
+	for _, pair := range bytes.Split(rest, []byte(",")) {
+		name, value, _ := bytes.Cut(pair, []byte("="))
+		x, err := strconv.ParseFloat(string(value), 64)
+		if err != nil || math.IsNaN(x) || math.IsInf(x, 0) {
+			continue
+		}
+		switch string(name) {
+		case "x0":
+			r.Load = x
+		case "x1":
+			r.Backlog = x
+		case "util", "busy":
+			r.Busy = x
+		case "inflight", "rif":
+			r.InFlight = x
+		}
+	}
+	return r
+}
+
+// Scan follows one stream of lines piece by piece, without keeping more of it than a line's beginning.
+type Scan struct {
+	head [8]byte // of the line that has begun
+	n    int     // how much of it came, up to len(head)
+}
+
+// Between tells that the stream stands between two lines.
+func (s *Scan) Between() bool { return s.n == 0 }
+
+// Seen is what a piece of a stream held.
+type Seen struct {
+	Lines int // ends of lines, load notes apart
+	Load  bool
+	Last  Word // Bye or MoveAway where such a line ended in it
+}
+
+// Read takes the next piece.
+func (s *Scan) Read(data []byte) (seen Seen) {
+	for len(data) > 0 {
+		i := bytes.IndexByte(data, '\n')
+		part := data
+		if i >= 0 {
+			part = data[:i]
+		}
+		s.n += copy(s.head[s.n:], part)
+		if i < 0 {
+			if s.n == 0 {
+				s.n = 1
+			}
+			return seen
+		}
+		switch w := WordOf(s.head[:s.n]); w {
+		case Load:
+			seen.Load = true
+		case Bye, MoveAway:
+			seen.Last = w
+			seen.Lines++
+		default:
+			seen.Lines++
+		}
+		s.n = 0
+		data = data[i+1:]
+	}
+	return seen
+}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -1,3 +1,5 @@
+// Package wire speaks the line protocol of the bench: it turns batches of lines into the policy
+// package's events and its actions into lines. It decides nothing.
 package wire
 
 import (
@@ -5,11 +7,11 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"strconv"
 	"strings"
 	"time"
 
+	"oatloft/internal/settings"
 	"oatloft/policy"
 )
 
@@ -54,10 +56,10 @@
 	if word != "turn" {
 		return nil, r.errorf("%q where a batch should begin", word)
 	}
-	f.required("ts-ms")
-	b := &Batch{Now: f.millis("ts-ms")}
-	if f.err != nil {
-		return nil, r.errorf("turn: %v", f.err)
+	f.Required("ts-ms")
+	b := &Batch{Now: f.Millis("ts-ms")}
+	if f.Err != nil {
+		return nil, r.errorf("turn: %v", f.Err)
 	}
 	for {
 		text, err := r.inside()
@@ -74,7 +76,7 @@
 	}
 }
 
-func (r *Reader) event(b *Batch, word string, f *fields) error {
+func (r *Reader) event(b *Batch, word string, f *settings.Fields) error {
 	if word == "turn" || word == "item" {
 		return r.errorf("unexpected %s", word)
 	}
@@ -82,16 +84,16 @@
 	if !known {
 		return nil
 	}
-	f.required("balancer-id")
-	e := Event{Instance: f.integer("balancer-id")}
+	f.Required("balancer-id")
+	e := Event{Instance: f.Integer("balancer-id")}
 	e.What = decode(f)
-	if f.err != nil {
-		return r.errorf("%s: %v", word, f.err)
+	if f.Err != nil {
+		return r.errorf("%s: %v", word, f.Err)
 	}
 	if list, ok := e.What.(policy.ServerList); ok {
-		n := f.integer("rows-in")
-		if f.err != nil || n < 0 {
-			return r.errorf("members: rows-in %q is no count", f.text("rows-in"))
+		n := f.Integer("rows-in")
+		if f.Err != nil || n < 0 {
+			return r.errorf("members: rows-in %q is no count", f.Text("rows-in"))
 		}
 		servers, err := r.items(n)
 		if err != nil {
@@ -116,15 +118,15 @@
 			return nil, r.errorf("%q where %d entries were announced and %d came", word, n, len(servers))
 		}
 		s := policy.Server{
-			ID:      f.required("server"),
-			Zone:    f.text("hall"),
-			Cell:    f.integer("group"),
-			State:   oneOf(f, "stage-state", states),
-			Weight:  f.number("rating"),
-			Started: f.millis("since-ms"),
+			ID:      f.Required("server"),
+			Zone:    f.Text("hall"),
+			Cell:    f.Integer("group"),
+			State:   settings.OneOf(f, "stage-state", states),
+			Weight:  f.Number("rating"),
+			Started: f.Millis("since-ms"),
 		}
-		if f.err != nil {
-			return nil, r.errorf("item: %v", f.err)
+		if f.Err != nil {
+			return nil, r.errorf("item: %v", f.Err)
 		}
 		servers = append(servers, s)
 	}
@@ -158,9 +160,9 @@
 	return fmt.Errorf("line %d: %s", r.line, fmt.Sprintf(format, args...))
 }
 
-func split(text string) (string, *fields) {
+func split(text string) (string, *settings.Fields) {
 	word, rest, _ := strings.Cut(text, " ")
-	return word, parseFields(rest)
+	return word, settings.Parse(rest)
 }
 
 var states = map[string]policy.ServerState{
@@ -180,75 +182,75 @@
 
 // decoders hold one function an event; what is not listed here is ignored. Messages between balancers
 // are left out on purpose: instances share nothing.
-var decoders = map[string]func(*fields) any{
-	"provision": func(f *fields) any {
-		seed, err := strconv.ParseInt(f.required("seed"), 10, 64)
+var decoders = map[string]func(*settings.Fields) any{
+	"provision": func(f *settings.Fields) any {
+		seed, err := strconv.ParseInt(f.Required("seed"), 10, 64)
 		if err != nil {
-			f.fail("seed: %q is not a whole number", f.text("seed"))
+			f.Fail("seed: %q is not a whole number", f.Text("seed"))
 		}
-		return &Start{Seed: seed, Config: config(f)}
+		return &Start{Seed: seed, Config: settings.Config(f)}
 	},
-	"shutdown": func(*fields) any { return Stop{} },
-	"members": func(f *fields) any {
-		return policy.ServerList{Kind: oneOf(f, "how", listKinds)}
+	"shutdown": func(*settings.Fields) any { return Stop{} },
+	"members": func(f *settings.Fields) any {
+		return policy.ServerList{Kind: settings.OneOf(f, "how", listKinds)}
 	},
-	"job_in": func(f *fields) any { f.required("patience-left-ms"); return request(f) },
-	"existing": func(f *fields) any {
-		return policy.Adopted{Request: request(f), Server: f.required("server")}
+	"job_in": func(f *settings.Fields) any { f.Required("patience-left-ms"); return request(f) },
+	"existing": func(f *settings.Fields) any {
+		return policy.Adopted{Request: request(f), Server: f.Required("server")}
 	},
-	"started": func(f *fields) any {
-		return policy.Established{ID: f.required("id"), Attempt: f.integer("shot"),
-			Server: f.required("server"), Latency: f.millis("rtt-ms")}
+	"started": func(f *settings.Fields) any {
+		return policy.Established{ID: f.Required("id"), Attempt: f.Integer("shot"),
+			Server: f.Required("server"), Latency: f.Millis("rtt-ms")}
 	},
-	"settled": func(f *fields) any {
-		return policy.Outcome{ID: f.required("id"), Attempt: f.integer("shot"), Server: f.required("server"),
-			Result: oneOf(f, "state-code", results), Final: f.flag("final")}
+	"settled": func(f *settings.Fields) any {
+		return policy.Outcome{ID: f.Required("id"), Attempt: f.Integer("shot"), Server: f.Required("server"),
+			Result: settings.OneOf(f, "state-code", results), Final: f.Flag("final")}
 	},
-	"hint_update": func(f *fields) any {
-		f.required("x")
-		switch f.integer("what") {
+	"hint_update": func(f *settings.Fields) any {
+		f.Required("x")
+		switch f.Integer("what") {
 		case 1:
-			return policy.LoadChange{ID: f.required("id")}
+			return policy.LoadChange{ID: f.Required("id")}
 		case 2:
-			return policy.Delay{ID: f.required("id"), Server: f.required("server"), Delay: f.millis("x")}
+			return policy.Delay{ID: f.Required("id"), Server: f.Required("server"), Delay: f.Millis("x")}
 		}
 		return nil // a kind of note that this version does not know
 	},
-	"echo": func(f *fields) any {
-		return policy.ProbeResult{Server: f.required("server"), Result: oneOf(f, "state-code", results),
+	"echo": func(f *settings.Fields) any {
+		return policy.ProbeResult{Server: f.Required("server"), Result: settings.OneOf(f, "state-code", results),
 			Report: report(f)}
 	},
-	"timed_out_client": func(f *fields) any { return policy.ClientGone{ID: f.required("id")} },
-	"reminder":         func(f *fields) any { return policy.Wake{Token: f.required("token")} },
+	"timed_out_client": func(f *settings.Fields) any { return policy.ClientGone{ID: f.Required("id")} },
+	"reminder":         func(f *settings.Fields) any { return policy.Wake{Token: f.Required("token")} },
 }
 
-func request(f *fields) policy.Request {
+func request(f *settings.Fields) policy.Request {
 	return policy.Request{
-		ID:       f.required("id"),
-		Key:      f.text("name-key"),
-		Group:    f.text("room"),
-		Class:    f.required("category"),
-		Tenant:   f.text("tenant"),
-		Patience: f.millis("patience-left-ms"),
-		MidFlow:  f.flag("mid-flow"),
+		ID:       f.Required("id"),
+		Key:      f.Text("name-key"),
+		Group:    f.Text("room"),
+		Class:    f.Required("category"),
+		Tenant:   f.Text("tenant"),
+		Patience: f.Millis("patience-left-ms"),
+		MidFlow:  f.Flag("mid-flow"),
 	}
 }
 
 // report reads a load report; columns that mean nothing to the policy are ignored.
-func report(f *fields) *policy.Report {
-	text := f.text("load")
-	if text == "" || text == "-" || text == null {
+func report(f *settings.Fields) *policy.Report {
+	text := f.Text("load")
+	if text == "" || text == "-" || text == settings.Null {
 		return nil
 	}
 	r := &policy.Report{Load: -1, Busy: -1, InFlight: -1, Backlog: -1}
 	for _, pair := range strings.Split(text, ",") {
 		name, value, ok := strings.Cut(pair, ":")
-		if value == null {
+		if value == settings.Null {
 			continue
 		}
-		x, err := parseNumber(value)
+		x, err := settings.ParseNumber(value)
 		if !ok || err != nil {
-			f.fail("load: %q is not name:number", pair)
+			f.Fail("load: %q is not name:number", pair)
 			return nil
 		}
 		switch name {
@@ -264,8 +266,3 @@
 	}
 	return r
 }
-
-// millis turns a figure in milliseconds into a duration.
-func millis(x float64) time.Duration {
-	return time.Duration(math.Round(x*1000)) * time.Microsecond
-}
