--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -44,6 +44,7 @@
 	attempt int
 	region  string
 	endBy   time.Time // finishing: closed by force then
+	cancel  func()    // stops the dialing
 
 	mu      sync.Mutex
 	state   linkState
@@ -241,6 +242,7 @@
 	if l.state != live {
 		if l.state == dialing {
 			l.state = ended
+			l.cancel()
 		}
 		return
 	}
@@ -282,7 +284,8 @@
 	defer l.mu.Unlock()
 	switch {
 	case l.state == dialing:
-		l.state = ended // the dial's callback, or its time-out, closes it
+		l.state = ended
+		l.cancel()
 	case l.state == ended:
 	case l.tail != nil:
 		l.state = ended
@@ -301,7 +304,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	switch {
-	case l.state == dialing || l.state == ended:
+	case l.state == dialing:
+		l.cancel()
+	case l.state == ended:
 	case l.tail != nil:
 		l.tail.reset()
 	default:
@@ -345,17 +350,6 @@
 	return fin
 }
 
-// connectError is what became of a dial: nbio reports every one that ended as connected.
-func connectError(c *nbio.Conn) (err error) {
-	control(c, func(fd int) {
-		code, e := syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ERROR)
-		if err = e; e == nil && code != 0 {
-			err = syscall.Errno(code)
-		}
-	})
-	return err
-}
-
 // tail writes to a terminal that has closed its sending, for which nbio has no use any more: the socket
 // lives on under a second descriptor, served by the standard library, nbio's own fallback.
 type tail struct {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -5,9 +5,11 @@
 package net
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
+	stdnet "net"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -97,9 +99,12 @@
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
 		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024})
 	s.engine.OnOpen(func(c *nbio.Conn) {
+		s.sockets.Add(1)
+		if c.Session() != nil { // dialed
+			return
+		}
 		l := &link{s: s, role: terminalRole, c: c, state: live}
 		c.SetSession(l)
-		s.sockets.Add(1)
 		s.queue.post(event{kind: evOpened, link: l})
 	})
 	s.engine.OnRead(s.onRead)
@@ -580,39 +585,47 @@
 	}
 }
 
-// dial opens a link; an event tells what became of it, on whichever goroutine nbio finds out.
+// dial opens a link; an event tells what became of it. The standard library dials and nbio takes the
+// connection over: nbio's own DialAsync reads an address's first four bytes, which are zeros in the long
+// form that ResolveTCPAddr returns, and so connects to 0.0.0.0.
 func (s *Server) dial(l *link, addr string, timeout time.Duration) {
 	if s.sockets.Load() > s.limit-reserve/2 {
+		l.state = ended // nobody else knows it yet
 		s.queue.post(event{kind: evRefused, link: l})
 		return
 	}
 	s.sockets.Add(1)
-	err := s.engine.DialAsyncTimeout("tcp", addr, timeout, func(c *nbio.Conn, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	l.cancel = cancel
+	go func() {
+		defer s.sockets.Add(-1)
+		defer cancel()
+		var d stdnet.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
 		l.mu.Lock()
 		defer l.mu.Unlock()
+		if err == nil && l.state != dialing {
+			_ = conn.Close()
+			return
+		}
+		var c *nbio.Conn
 		if err == nil {
-			err = connectError(c)
+			if c, err = nbio.NBConn(conn); err != nil {
+				_ = conn.Close()
+			}
 		}
-		if err != nil || l.state != dialing {
+		if err != nil {
 			if l.state == dialing {
 				l.state = ended
 				s.queue.post(event{kind: evRefused, link: l})
 			}
-			_ = c.Close()
 			return
 		}
-		_ = c.SetNoDelay(true)
-		l.c, l.state = c, live
 		c.SetSession(l)
+		l.c, l.state = c, live
 		s.queue.post(event{kind: evConnected, link: l})
-	})
-	if err != nil {
-		s.sockets.Add(-1)
-		l.mu.Lock()
-		l.state = ended
-		l.mu.Unlock()
-		s.queue.post(event{kind: evRefused, link: l})
-	}
+		_, _ = s.engine.AddConn(c) // a failure closes c, and onClose tells of it
+	}()
 }
 
 // probe asks for a load report, over the region's one connection for that.
