--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return err
 	}
+	if err := server.Start(); err != nil {
+		return err
+	}
 	return server.Run(signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1))
 }
 
--- /dev/null
+++ b/internal/net/play_test.go
@@ -0,0 +1,283 @@
+package net
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	stdnet "net"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// Each file in testdata is an exchange of bytes, played against a whole balancer between scripted
+// terminals (a to g), routed tasks as regions see them (task1, task2 ... in the order they arrive) and
+// discovery's watches (watch1 ...). A step is one line:
+//
+//	NAME > TEXT      NAME sends a line           NAME >> "TEXT"   sends just these bytes
+//	NAME < TEXT      a line comes to NAME; * stands for anything
+//	NAME < FIN       the end comes, or RST       NAME FIN         NAME closes its sending, or RST
+//	nothing NAME MS  no byte comes for that long
+//	chunk NAME TEXT  one chunk holding one line  long NAME N      a line that is N bytes long
+//	by MS            the next step takes no longer
+//	wait MS, leave, ended, down REGION, sockets N, fill N
+type play struct {
+	t       *testing.T
+	server  *Server
+	addr    string
+	vars    *strings.Replacer
+	regions map[string]stdnet.Listener
+	peers   map[string]*peer
+	tasks   chan *peer
+	watches chan *peer
+	leave   chan struct{}
+	ended   chan error
+	limit   time.Duration
+}
+
+type peer struct {
+	conn stdnet.Conn
+	in   *bufio.Reader
+}
+
+func newPeer(c stdnet.Conn) *peer { return &peer{c, bufio.NewReader(c)} }
+
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no exchanges:", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := start(t, string(text))
+			for n, line := range strings.Split(string(text), "\n") {
+				if line == "" || line[0] == '#' || strings.HasPrefix(line, "sockets ") {
+					continue
+				}
+				if err := p.step(p.vars.Replace(line)); err != nil {
+					t.Fatalf("%s:%d: %s: %v", file, n+1, line, err)
+				}
+			}
+		})
+	}
+}
+
+func start(t *testing.T, text string) *play {
+	p := &play{t: t, regions: map[string]stdnet.Listener{}, peers: map[string]*peer{},
+		tasks: make(chan *peer, 99), watches: make(chan *peer, 99), leave: make(chan struct{}),
+		ended: make(chan error, 1), limit: 3 * time.Second}
+	var vars []string
+	for _, name := range []string{"r1", "r2", "discovery"} {
+		// Not 127.0.0.1: nbio's own dialing would reach that by mistake, as 0.0.0.0, and nothing else.
+		l, err := stdnet.Listen("tcp", "127.8.1.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		vars = append(vars, "$"+name, l.Addr().String())
+		p.regions[name] = l
+		go p.accept(l, name == "discovery")
+	}
+	p.vars = strings.NewReplacer(vars...)
+	body, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg, err := ParseConfig([]byte(p.vars.Replace(string(body))), "", "", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if m := regexp.MustCompile(`(?m)^sockets (\d+)$`).FindStringSubmatch(text); m != nil {
+		cfg.Sockets, _ = strconv.Atoi(m[1])
+	}
+	if p.server, err = New(cfg, io.Discard); err != nil {
+		t.Fatal(err)
+	}
+	if err := p.server.Start(); err != nil {
+		t.Fatal(err)
+	}
+	p.addr = p.server.Addr()
+	go func() { p.ended <- p.server.Run(p.leave, nil) }()
+	return p
+}
+
+// accept plays the regions, whose probes are answered at once, and discovery.
+func (p *play) accept(l stdnet.Listener, discovery bool) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		peer := newPeer(c)
+		if discovery {
+			p.watches <- peer
+			continue
+		}
+		go func() {
+			for {
+				word, err := peer.in.Peek(5)
+				if err != nil || string(word) != "STATS" {
+					p.tasks <- peer
+					return
+				}
+				_, _ = peer.in.ReadString('\n')
+				fmt.Fprint(c, "PONG latency_ms=3.5,inflight=10,x0=0.2\r\n")
+			}
+		}()
+	}
+}
+
+// peer finds who is named, and waits for it, or lets a terminal connect, at its first mention.
+func (p *play) peer(name string) (*peer, error) {
+	if known := p.peers[name]; known != nil {
+		return known, nil
+	}
+	from := p.tasks
+	switch {
+	case strings.HasPrefix(name, "watch"):
+		from = p.watches
+	case !strings.HasPrefix(name, "task"):
+		c, err := stdnet.Dial("tcp", p.addr)
+		if err != nil {
+			return nil, err
+		}
+		p.peers[name] = newPeer(c)
+		return p.peers[name], nil
+	}
+	select {
+	case p.peers[name] = <-from:
+		return p.peers[name], nil
+	case <-time.After(p.limit):
+		return nil, errors.New("nobody came")
+	}
+}
+
+func (p *play) step(line string) error {
+	words := strings.SplitN(line, " ", 3)
+	word, number := words[0], 0
+	if len(words) > 1 {
+		number, _ = strconv.Atoi(words[len(words)-1])
+	}
+	switch word {
+	case "wait":
+		time.Sleep(time.Duration(number) * time.Millisecond)
+		return nil
+	case "by":
+		p.limit = time.Duration(number) * time.Millisecond
+		return nil
+	case "leave":
+		p.leave <- struct{}{}
+		return nil
+	case "ended":
+		select {
+		case err := <-p.ended:
+			return err
+		case <-time.After(p.limit):
+			return errors.New("still there")
+		}
+	case "down":
+		return p.regions[words[1]].Close()
+	case "fill":
+		for i := range number {
+			if err := p.step(fmt.Sprintf("filler%d > PING", i)); err != nil {
+				return err
+			}
+		}
+		return p.step(fmt.Sprintf("filler%d < PONG", number-1))
+	case "nothing", "long", "chunk":
+		words = []string{words[1], word, words[2]}
+	}
+	who, err := p.peer(words[0])
+	if err != nil {
+		return err
+	}
+	text := strings.Join(words[2:], "")
+	switch words[1] {
+	case ">":
+		_, err = io.WriteString(who.conn, text+"\r\n")
+	case ">>":
+		if text, err = strconv.Unquote(text); err == nil {
+			_, err = io.WriteString(who.conn, text)
+		}
+	case "chunk":
+		_, err = fmt.Fprintf(who.conn, "%x\r\n%s\n\r\n", len(text)+1, text)
+	case "long":
+		_, err = io.WriteString(who.conn, strings.Repeat("x", number))
+	case "FIN":
+		err = who.conn.(*stdnet.TCPConn).CloseWrite()
+	case "RST":
+		_ = who.conn.(*stdnet.TCPConn).SetLinger(0)
+		err = who.conn.Close()
+	case "nothing":
+		_ = who.conn.SetReadDeadline(time.Now().Add(time.Duration(number) * time.Millisecond))
+		if b, e := who.in.Peek(1); !errors.Is(e, os.ErrDeadlineExceeded) {
+			err = fmt.Errorf("got %q, %v", b, e)
+		}
+	case "<":
+		err = p.expect(who, text)
+	default:
+		err = errors.New("no such step")
+	}
+	return err
+}
+
+func (p *play) expect(who *peer, text string) error {
+	_ = who.conn.SetReadDeadline(time.Now().Add(p.limit))
+	p.limit = 3 * time.Second
+	got, err := who.in.ReadString('\n')
+	switch text {
+	case "FIN", "RST":
+		if got != "" || text == "FIN" && err != io.EOF || text == "RST" && !errors.Is(err, syscall.ECONNRESET) {
+			return fmt.Errorf("got %q, %v", got, err)
+		}
+		return nil
+	}
+	want := "^" + strings.ReplaceAll(regexp.QuoteMeta(text), `\*`, ".*") + "\r\n$"
+	if strings.HasPrefix(text, "GET ") && err == nil { // the call's other lines are of no matter
+		for next := ""; next != "\r\n" && err == nil; {
+			next, err = who.in.ReadString('\n')
+		}
+	}
+	if err != nil || !regexp.MustCompile(want).MatchString(got) {
+		return fmt.Errorf("got %q, %v", got, err)
+	}
+	return nil
+}
+
+// A configuration that can't work is named in one line by its field.
+func TestConfigNamesTheField(t *testing.T) {
+	body, err := os.ReadFile("testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := strings.NewReplacer("$discovery", "127.0.0.1:1", "$r1", "127.0.0.1:2", "$r2", "127.0.0.1:3").Replace(string(body))
+	if c, err := ParseConfig([]byte(good), "n9", "127.0.0.1:9", ""); err != nil || c.Name != "n9" || c.Listen != "127.0.0.1:9" {
+		t.Fatal(c, err)
+	}
+	for _, x := range []struct{ old, new, field string }{
+		{`"1f"`, `"x"`, "seed"},
+		{`"127.0.0.1:0"`, `"nowhere"`, "listen"},
+		{`"127.0.0.1:1"`, `""`, "discovery"},
+		{`"ready"`, `"well"`, "known"},
+		{`"aim-ms":800.0`, `"aim-ms":"soon"`, "classes.0.aim-ms"},
+		{`"max-attempts":3`, `"max-attempts":0`, "attempts"},
+		{`"connect-timeout-ms":250.0`, `"x":1`, "connect-timeout-ms"},
+		{`"settings"`, `"set"`, "settings"},
+		{`{"name"`, `"name"`, "config"},
+	} {
+		_, err := ParseConfig([]byte(strings.Replace(good, x.old, x.new, 1)), "", "", "")
+		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v", x.field, err)
+		}
+	}
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -103,8 +103,11 @@
 		if c.Session() != nil { // dialed
 			return
 		}
-		l := &link{s: s, role: terminalRole, c: c, state: live}
+		l := new(link)
 		c.SetSession(l)
+		l.mu.Lock() // what comes by way of epoll is ordered by this
+		l.s, l.role, l.c, l.state = s, terminalRole, c, live
+		l.mu.Unlock()
 		s.queue.post(event{kind: evOpened, link: l})
 	})
 	s.engine.OnRead(s.onRead)
@@ -155,14 +158,22 @@
 
 func (s *Server) now() time.Duration { return time.Since(s.cfg.Zero) }
 
-// Run serves until the reducer says that all is done. leave and report are the operator's signals.
-func (s *Server) Run(leave, report <-chan struct{}) error {
+// Start tells the reducer what is known and listens. Run has to follow.
+func (s *Server) Start() error {
 	if s.cfg.Known != nil {
 		s.step(*s.cfg.Known)
 	}
 	if err := s.engine.Start(); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	return nil
+}
+
+// Addr is where terminals connect.
+func (s *Server) Addr() string { return s.engine.Addrs[0] }
+
+// Run serves until the reducer says that all is done. leave and report are the operator's signals.
+func (s *Server) Run(leave, report <-chan struct{}) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	for !s.exit {
--- /dev/null
+++ b/internal/platform/platform_test.go
@@ -0,0 +1,107 @@
+package platform
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"oatloft/internal/core"
+	"oatloft/policy"
+)
+
+// The first line passes on byte for byte, but for d.
+func TestFirstLine(t *testing.T) {
+	line := "OPEN 9b1f 7f3a c=chat,t=acme,d=2000,g=5c0f,h=0.25,again=1,mid=1,new=x=y\r\n"
+	o, err := ParseOpen([]byte(line))
+	if err != nil || o.ID != "9b1f" || o.Key != "7f3a" || o.Class != "chat" || o.Tenant != "acme" || o.Group != "5c0f" ||
+		o.Patience != 2*time.Second || !o.MidFlow || o.At != "" {
+		t.Fatalf("%+v %v", o, err)
+	}
+	if got := string(o.AppendLine(nil, 1987*time.Millisecond)); got != strings.Replace(line, "2000", "1987", 1) {
+		t.Fatal(got)
+	}
+	for _, bad := range []string{"", "OPEN\r\n", "OPEN 1 2\r\n", "OPEN 1 2 c=x\r\n", "OPEN 1 2 d=5\r\n", "OPEN 1 2 c=x,d=-5\r\n",
+		"OPEN 1 2 c=x,d=5\n", "OPEN 1 2 c=x,d=5,d=6\r\n", "OPEN 1  c=x,d=5\r\n", "OPEN 1 2 c=x,d=5 \r\n", "OPEN 1 2 c=x,d=NaN\r\n",
+		"OPEN 1 2 c=x,,d=5\r\n", "open 1 2 c=x,d=5\r\n", "OPEN 1 2 c=x\r,d=5\r\n"} {
+		if o, err := ParseOpen([]byte(bad)); err == nil {
+			t.Errorf("%q passed as %+v", bad, o)
+		}
+	}
+}
+
+// Columns of a load report mean what they mean on the bench's wire; unknown ones nothing.
+func TestStats(t *testing.T) {
+	r := ParseStats([]byte("PONG latency_ms=3.5,inflight=7,x0=0.61,new,x1=nan\r\n"))
+	if r == nil || *r != (policy.Report{Load: 0.61, Busy: -1, InFlight: 7, Backlog: -1}) {
+		t.Fatalf("%+v", r)
+	}
+	if ParseStats([]byte("PONG\r\n")) != nil {
+		t.Fatal("a report out of nothing")
+	}
+}
+
+// A stream is followed in pieces of any size: notes are no replies, and MOVE waits for a line's end.
+func TestScan(t *testing.T) {
+	text := "one\r\nLOAD 12.5\r\nLOADED\r\n\r\nMOVE\r\nhalf"
+	for size := 1; size <= len(text); size++ {
+		var s Scan
+		var sum Seen
+		for rest := []byte(text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			seen := s.Read(rest[:min(size, len(rest))])
+			sum.Lines += seen.Lines
+			sum.Load = sum.Load || seen.Load
+			sum.Last = max(sum.Last, seen.Last)
+		}
+		if sum != (Seen{Lines: 4, Load: true, Last: MoveAway}) || s.Between() {
+			t.Fatalf("pieces of %d: %+v", size, sum)
+		}
+	}
+}
+
+// Chunks and lines end anywhere, whatever the pieces that they are read in.
+func TestWatchInPieces(t *testing.T) {
+	zero := time.UnixMilli(1000)
+	list := `{"seq":43,"whole":true,"hosts":[{"host":"s","dial":"127.1.0.1:9","site":"a","block":3,"health":"draining","share":1.5,"born_ms":1250}]}` + "\n"
+	text := "HTTP/1.1 200 OK\r\nContent-Type: x\r\nTransfer-Encoding: chunked\r\n\r\n" + chunk("\n") + chunk(list[:20]) + chunk(list[20:]+"\r\n") +
+		chunk(`{"seq":44,"whole":false,"hosts":[]}`+"\n")
+	for size := 1; size <= len(text); size++ {
+		w := WatchReader{Zero: zero}
+		var lists []core.Listed
+		empty := 0
+		for rest := []byte(text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
+			piece := append([]byte(nil), rest[:min(size, len(rest))]...)
+			err := w.Read(piece, func(l *core.Listed) {
+				if l == nil {
+					empty++
+				} else {
+					lists = append(lists, *l)
+				}
+			})
+			if err != nil {
+				t.Fatalf("pieces of %d: %v", size, err)
+			}
+			clear(piece) // the buffer is used again
+		}
+		want := core.Region{Dial: "127.1.0.1:9", Server: policy.Server{ID: "s", Zone: "a", Cell: 3, State: policy.Draining,
+			Weight: 1.5, Started: 250 * time.Millisecond}}
+		if len(lists) != 2 || empty != 2 || lists[0].Kind != policy.ListFull || lists[0].Seq != 43 ||
+			lists[0].Regions[0] != want || lists[1].Kind != policy.ListDelta {
+			t.Fatalf("pieces of %d: %d empty, %+v", size, empty, lists)
+		}
+	}
+}
+
+func chunk(s string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(s), s) }
+
+// What is no watch ends in an error, never in a crash.
+func TestWatchGarbage(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, text := range []string{"HTTP/1.1 503 No\r\n\r\n", "garbage\r\n\r\n", head + "0\r\n\r\n", head + "zz\r\n", head + "-1\r\n",
+		head + "ffffffff\r\n", head + chunk("{]\n"), head + chunk(`{"hosts":[{"host":"s","health":"odd"}]}`+"\n"), strings.Repeat("x", 20<<10)} {
+		var w WatchReader
+		if err := w.Read([]byte(text), func(*core.Listed) {}); err == nil {
+			t.Errorf("%.60q passed", text)
+		}
+	}
+}
