Keep what a half-closed terminal has still to read; bound memory; steady order

Also: the event loop takes one batch between two looks at the clock; short on memory is answered BUSY; a connection moved inside a line that never ends is cut without MOVE; an empty first line of a watch counts as its answer (TestNothingChanged).

--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -4,6 +4,9 @@
 package core
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"oatloft/policy"
@@ -32,7 +35,7 @@
 	deadline time.Duration
 	until    time.Duration // the routed task is given up then
 	askedAt  time.Duration // open: when the oldest line without a reply passed; 0 if none
-	ended    time.Duration // when the terminal closed its sending; 0 if it has not
+	ended    time.Duration // when the terminal closed its sending, or heard something since; 0 if it has not
 }
 
 // region is a listed server, with what this balancer has learnt of its message delay.
@@ -139,7 +142,10 @@
 	case Listed:
 		r.list(ev)
 	case WatchAlive:
-		r.watchUp, r.watchHeard = true, r.now
+		fresh := r.watching && !r.watchUp
+		if r.watchUp, r.watchHeard = true, r.now; fresh { // the call is answered: nothing has changed
+			r.feed(policy.ServerList{Kind: policy.ListDelta})
+		}
 	case WatchEnded:
 		r.watchEnded()
 	case Probed:
@@ -371,6 +377,9 @@
 	r.do(Pass{Of: t.from, ToRegion: !ev.FromRegion, Data: ev.Data})
 	switch {
 	case ev.FromRegion:
+		if t.ended > 0 {
+			t.ended = r.now // half a connection, but a lively one
+		}
 		if ev.Lines > 0 && t.askedAt > 0 {
 			r.delay(t, r.now-t.askedAt)
 			t.askedAt = 0
@@ -493,6 +502,16 @@
 	r.over(t, nil)
 }
 
+// inOrder lists the transactions by their handles: the same events must lead to the same effects.
+func (r *Reducer) inOrder() []*transaction {
+	list := make([]*transaction, 0, len(r.open))
+	for _, t := range r.open {
+		list = append(list, t)
+	}
+	slices.SortFunc(list, func(a, b *transaction) int { return cmp.Compare(a.from, b.from) })
+	return list
+}
+
 // over forgets a transaction and tells the module why, if it does not know.
 func (r *Reducer) over(t *transaction, ev policy.Event) {
 	delete(r.open, t.from)
@@ -513,7 +532,7 @@
 	if r.cfg.PassThrough {
 		return
 	}
-	for _, t := range r.open {
+	for _, t := range r.inOrder() {
 		if t.state == open {
 			r.sendAway(t)
 		}
@@ -547,14 +566,14 @@
 		}
 	}
 	if ev.Kind != policy.ListDelta {
-		for id := range r.regions {
+		for _, id := range slices.Sorted(maps.Keys(r.regions)) {
 			if !named[id] {
 				r.forget(id)
 			}
 		}
 	}
 	r.feed(policy.ServerList{Kind: ev.Kind, Servers: servers})
-	for _, t := range r.open {
+	for _, t := range r.inOrder() {
 		if t.at != "" {
 			r.goBack(t)
 		}
@@ -636,7 +655,7 @@
 // sweep ends what has gone silent: a region's machine that vanished keeps its connections open and says
 // nothing, and so does discovery's.
 func (r *Reducer) sweep() {
-	for _, t := range r.open {
+	for _, t := range r.inOrder() {
 		if t.state == open && t.ended > 0 && r.now-t.ended > silentAfter {
 			r.do(EndTerminal{Of: t.from, How: Closed})
 			r.abandon(t)
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -260,6 +260,19 @@
 	}
 }
 
+// A call that is answered with nothing but an empty line stands: the module need not ask again.
+func TestNothingChanged(t *testing.T) {
+	b := newBed(t, nil)
+	find[Watch](b, b.pass(3*time.Second))
+	for range 10 {
+		b.do(WatchAlive{})
+		b.none(all2(b.pass(2 * time.Second)))
+	}
+	if b.r.Counters.Watches != 1 {
+		t.Fatal(b.r.Counters.Watches, "calls")
+	}
+}
+
 // A connection from before the run goes back, and is the module's from then on.
 func TestAdopted(t *testing.T) {
 	b := newBed(t, nil)
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -49,9 +49,10 @@
 	mu      sync.Mutex
 	state   linkState
 	c       *nbio.Conn
-	tail    *tail // writes once the other side has closed its sending
-	paused  bool  // reading waits for room on the other side, or in the queue
-	finWant bool  // FIN follows what is buffered
+	tail    *tail  // writes once the other side has closed its sending
+	paused  bool   // reading waits for room on the other side, or in the queue
+	finWant bool   // FIN follows what is buffered
+	rest    []byte // a copy of the backlog, for the hand-over
 
 	handed, written atomic.Int64 // bytes
 	want            atomic.Bool  // an evFlushed is wanted when all that was handed over is written
@@ -213,6 +214,13 @@
 	if _, err := l.c.Write(b); err != nil {
 		l.state = ended
 		l.s.queue.post(event{kind: evBroken, link: l})
+		return
+	}
+	if n := int(l.backlog()); n > 0 {
+		l.rest = append(l.rest, b...)
+		l.rest = l.rest[len(l.rest)-n:]
+	} else {
+		l.rest = nil
 	}
 }
 
@@ -361,12 +369,9 @@
 	done bool
 }
 
-// handOver moves the socket from nbio to a tail. The unwritten rest stays with nbio and would be lost,
-// so a link with a backlog is ended instead.
+// handOver moves the socket from nbio to a tail, and with it what nbio has not written yet: it would
+// drop that when it closes its descriptor.
 func (l *link) handOver() bool {
-	if l.backlog() > 0 {
-		return false
-	}
 	var conn stdnet.Conn
 	control(l.c, func(fd int) {
 		twin, err := syscall.Dup(fd)
@@ -385,6 +390,8 @@
 	}
 	l.tail = &tail{l: l, conn: conn}
 	l.tail.cond = sync.NewCond(&l.tail.mu)
+	l.tail.todo = l.rest[len(l.rest)-min(len(l.rest), int(l.backlog())):]
+	l.rest = nil
 	l.s.sockets.Add(1)
 	go l.tail.run()
 	c := l.c
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -26,7 +26,9 @@
 //	nothing NAME MS  no byte comes for that long
 //	chunk NAME TEXT  one chunk holding one line  long NAME N      a line that is N bytes long
 //	by MS            the next step takes no longer
-//	wait MS, leave, ended, down REGION, sockets N, fill N
+//	flood NAME N     NAME sends N lines of 1,000 bytes, as they are taken
+//	drain NAME N     N such lines come to NAME
+//	wait MS, leave, ended, down REGION, fill N; sockets N and memory N set limits
 type play struct {
 	t       *testing.T
 	server  *Server
@@ -41,6 +43,8 @@
 	limit   time.Duration
 }
 
+var limits = regexp.MustCompile(`(?m)^(sockets|memory) (\d+)$`)
+
 type peer struct {
 	conn stdnet.Conn
 	in   *bufio.Reader
@@ -61,7 +65,7 @@
 			}
 			p := start(t, string(text))
 			for n, line := range strings.Split(string(text), "\n") {
-				if line == "" || line[0] == '#' || strings.HasPrefix(line, "sockets ") {
+				if line == "" || line[0] == '#' || limits.MatchString(line) {
 					continue
 				}
 				if err := p.step(p.vars.Replace(line)); err != nil {
@@ -97,8 +101,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if m := regexp.MustCompile(`(?m)^sockets (\d+)$`).FindStringSubmatch(text); m != nil {
-		cfg.Sockets, _ = strconv.Atoi(m[1])
+	for _, m := range limits.FindAllStringSubmatch(text, -1) {
+		n, _ := strconv.Atoi(m[2])
+		if m[1] == "sockets" {
+			cfg.Sockets = n
+		} else {
+			cfg.MemoryMB = n
+		}
 	}
 	if p.server, err = New(cfg, io.Discard); err != nil {
 		t.Fatal(err)
@@ -194,7 +203,7 @@
 			}
 		}
 		return p.step(fmt.Sprintf("filler%d < PONG", number-1))
-	case "nothing", "long", "chunk":
+	case "nothing", "long", "chunk", "flood", "drain":
 		words = []string{words[1], word, words[2]}
 	}
 	who, err := p.peer(words[0])
@@ -213,6 +222,16 @@
 		_, err = fmt.Fprintf(who.conn, "%x\r\n%s\n\r\n", len(text)+1, text)
 	case "long":
 		_, err = io.WriteString(who.conn, strings.Repeat("x", number))
+	case "flood":
+		go func() {
+			for i := range number {
+				fmt.Fprintf(who.conn, "%0998d\r\n", i)
+			}
+		}()
+	case "drain":
+		for i := 0; i < number && err == nil; i++ {
+			err = p.expect(who, fmt.Sprintf("%0998d", i))
+		}
 	case "FIN":
 		err = who.conn.(*stdnet.TCPConn).CloseWrite()
 	case "RST":
@@ -242,12 +261,15 @@
 		}
 		return nil
 	}
-	want := "^" + strings.ReplaceAll(regexp.QuoteMeta(text), `\*`, ".*") + "\r\n$"
 	if strings.HasPrefix(text, "GET ") && err == nil { // the call's other lines are of no matter
 		for next := ""; next != "\r\n" && err == nil; {
 			next, err = who.in.ReadString('\n')
 		}
 	}
+	if err == nil && got == text+"\r\n" {
+		return nil
+	}
+	want := "^" + strings.ReplaceAll(regexp.QuoteMeta(text), `\*`, ".*") + "\r\n$"
 	if err != nil || !regexp.MustCompile(want).MatchString(got) {
 		return fmt.Errorf("got %q, %v", got, err)
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -12,6 +12,7 @@
 	stdnet "net"
 	"runtime"
 	"runtime/debug"
+	"runtime/metrics"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -25,11 +26,14 @@
 )
 
 const (
-	fullAt    = 64 << 10 // a link with more than this to write stops the other side's reading ...
-	roomAt    = 16 << 10 // ... until it has less than this
-	reserve   = 48       // descriptors kept for what is not a terminal or a routed task
-	moveWait  = time.Second
-	dialLonge = 50 * time.Millisecond // dialing sockets outlive the reducer's patience by this
+	fullAt       = 64 << 10  // a link with more than this to write stops the other side's reading ...
+	roomAt       = 16 << 10  // ... until it has less than this
+	socketBuffer = 128 << 10 // of the system, for what waits while the other side is full
+	reserve      = 48        // descriptors kept for what is not a terminal or a routed task
+	moveWait     = time.Second
+	dialLonger   = 50 * time.Millisecond  // dialing sockets outlive the reducer's patience by this
+	checkEvery   = 250 * time.Millisecond // how often memory is looked at
+	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
 )
 
 // terminal is one client connection, on the reducer's goroutine.
@@ -78,6 +82,8 @@
 	batch     []event
 	exit      bool
 	limit     int64
+	short     bool // of memory
+	checkAt   time.Time
 	counters  struct {
 		Accepted, LinesIn, BytesToRegions, BytesToTerminals, Pings, Malformed, NoRoom int64
 	}
@@ -100,6 +106,7 @@
 		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024})
 	s.engine.OnOpen(func(c *nbio.Conn) {
 		s.sockets.Add(1)
+		_ = c.SetReadBuffer(socketBuffer)
 		if c.Session() != nil { // dialed
 			return
 		}
@@ -156,6 +163,13 @@
 	}
 }
 
+// heap is the memory that the Go runtime holds, in bytes.
+func heap() uint64 {
+	sample := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	metrics.Read(sample)
+	return sample[0].Value.Uint64() - sample[1].Value.Uint64()
+}
+
 func (s *Server) now() time.Duration { return time.Since(s.cfg.Zero) }
 
 // Start tells the reducer what is known and listens. Run has to follow.
@@ -176,7 +190,14 @@
 func (s *Server) Run(leave, report <-chan struct{}) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
-	for !s.exit {
+	var exitBy time.Time
+	for {
+		if s.exit && exitBy.IsZero() {
+			exitBy = time.Now().Add(exitWait)
+		}
+		if s.exit && (len(s.finishing) == 0 || time.Now().After(exitBy)) {
+			break
+		}
 		select {
 		case <-s.queue.bell:
 		case <-tick.C:
@@ -203,25 +224,21 @@
 	}
 }
 
-// work handles what the callbacks have posted.
+// work handles what the callbacks have posted so far. What comes meanwhile rings the bell again, so that
+// a flood of events can't keep the clock from ticking.
 func (s *Server) work() {
-	for {
-		batch, starved := s.queue.take(s.batch)
-		s.batch = batch
-		for i, e := range batch {
-			s.handle(e)
-			batch[i] = event{}
-		}
-		for _, l := range starved {
-			l.mu.Lock()
-			paused := l.paused
-			l.mu.Unlock()
-			if !paused {
-				l.resume()
-			}
-		}
-		if len(batch) == 0 {
-			return
+	batch, starved := s.queue.take(s.batch)
+	s.batch = batch
+	for i, e := range batch {
+		s.handle(e)
+		batch[i] = event{}
+	}
+	for _, l := range starved {
+		l.mu.Lock()
+		paused := l.paused
+		l.mu.Unlock()
+		if !paused {
+			l.resume()
 		}
 	}
 }
@@ -327,7 +344,7 @@
 		t.begun, t.asked = nil, true
 		open.Keep()
 		t.open = open
-		if s.sockets.Load() > s.limit-reserve {
+		if s.short || s.sockets.Load() > s.limit-reserve {
 			s.counters.NoRoom++
 			t.over = true
 			s.finalAnswer(t, platform.AppendShort(nil, 0))
@@ -498,7 +515,7 @@
 		if t := s.terminals[e.Of]; t != nil {
 			t.answer, t.last, t.fromRegion = nil, platform.Line, platform.Scan{}
 			t.task = &link{s: s, role: taskRole, term: t, attempt: e.Attempt, region: e.Region}
-			s.dial(t.task, e.Addr, s.cfg.Core.ConnectTimeout+dialLonge)
+			s.dial(t.task, e.Addr, s.cfg.Core.ConnectTimeout+dialLonger)
 		}
 	case core.SendLine:
 		if t := s.terminals[e.Of]; t != nil && t.task != nil {
@@ -736,10 +753,18 @@
 		}
 	}
 	for t := range s.moving {
-		if now.After(t.moveBy) {
-			s.moveNow(t)
+		if now.After(t.moveBy) { // the region has stopped inside a line: MOVE would be taken for its rest
+			s.closeTerminal(t, core.Broken)
+			if t.task != nil {
+				t.task.drop()
+				t.task = nil
+			}
 		}
 	}
+	if now.After(s.checkAt) {
+		s.checkAt = now.Add(checkEvery)
+		s.short = s.cfg.MemoryMB > 0 && heap() > uint64(s.cfg.MemoryMB)<<20*8/10
+	}
 	for l := range s.finishing {
 		l.mu.Lock()
 		over := l.state == ended
