Wait for a late reader before a finished link is closed by force; smaller socket buffers

Seen: by reading, force() (link.go) closed a finishing link 1 s after its FIN was due, with what nbio still held for a terminal that reads late. late-terminal.txt loses bytes on the old code (at 320, 370, 480 and 550 lines; with 250 or 650 the kernel hides it) and passes now. A link is closed by force only when nobody has read for 5 s, or 1 s with nothing left.

--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -44,6 +44,7 @@
 	attempt int
 	region  string
 	endBy   time.Time // finishing: closed by force then
+	seen    int64     // finishing: of what was written, at the last look
 	cancel  func()    // stops the dialing
 
 	mu      sync.Mutex
@@ -257,11 +258,13 @@
 	l.finWant = true
 	if last {
 		l.state = finishing
-		l.endBy = time.Now().Add(time.Second)
+		l.endBy, l.seen = time.Now().Add(time.Second), l.written.Load()
 		l.s.finishing[l] = struct{}{}
 	}
 	if l.flushed() {
 		l.sendFin()
+	} else if last {
+		l.endBy = time.Now().Add(readWait)
 	}
 	if last && l.c != nil && l.paused { // what the pause kept in the socket has to be read away
 		l.read(false)
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -28,6 +28,7 @@
 //	by MS            the next step takes no longer
 //	flood NAME N     NAME sends N lines of 1,000 bytes, as they are taken
 //	drain NAME N     N such lines come to NAME
+//	narrow NAME N    NAME takes no more than about N bytes before it reads
 //	wait MS, leave, ended, down REGION, fill N; sockets N and memory N set limits
 type play struct {
 	t       *testing.T
@@ -203,7 +204,7 @@
 			}
 		}
 		return p.step(fmt.Sprintf("filler%d < PONG", number-1))
-	case "nothing", "long", "chunk", "flood", "drain":
+	case "nothing", "long", "chunk", "flood", "drain", "narrow":
 		words = []string{words[1], word, words[2]}
 	}
 	who, err := p.peer(words[0])
@@ -228,6 +229,8 @@
 				fmt.Fprintf(who.conn, "%0998d\r\n", i)
 			}
 		}()
+	case "narrow":
+		err = who.conn.(*stdnet.TCPConn).SetReadBuffer(number)
 	case "drain":
 		for i := 0; i < number && err == nil; i++ {
 			err = p.expect(who, fmt.Sprintf("%0998d", i))
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -26,13 +26,14 @@
 )
 
 const (
-	fullAt       = 64 << 10  // a link with more than this to write stops the other side's reading ...
-	roomAt       = 16 << 10  // ... until it has less than this
-	socketBuffer = 128 << 10 // of the system, for what waits while the other side is full
-	reserve      = 48        // descriptors kept for what is not a terminal or a routed task
+	fullAt       = 64 << 10 // a link with more than this to write stops the other side's reading ...
+	roomAt       = 16 << 10 // ... until it has less than this
+	socketBuffer = 64 << 10 // of the system, for what waits while the other side is full
+	reserve      = 48       // descriptors kept for what is not a terminal or a routed task
 	moveWait     = time.Second
 	dialLonger   = 50 * time.Millisecond  // dialing sockets outlive the reducer's patience by this
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
+	readWait     = 5 * time.Second        // a link that ends waits so long for the other side to read on
 	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
 )
 
@@ -107,6 +108,7 @@
 	s.engine.OnOpen(func(c *nbio.Conn) {
 		s.sockets.Add(1)
 		_ = c.SetReadBuffer(socketBuffer)
+		_ = c.SetWriteBuffer(socketBuffer)
 		if c.Session() != nil { // dialed
 			return
 		}
@@ -769,6 +771,9 @@
 		l.mu.Lock()
 		over := l.state == ended
 		l.mu.Unlock()
+		if w := l.written.Load(); w != l.seen { // somebody still reads what is buffered
+			l.seen, l.endBy = w, now.Add(readWait)
+		}
 		if !over && now.After(l.endBy) {
 			l.force()
 			over = true
