Report forgotten probes; let terminals wait for descriptors; find a dead watch sooner

A dead watch was found after 5 s and news count as told after 6 s: now 4 s (TestSilentWatch), and a call that never answers is given up after 1.5 s.

--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -80,15 +81,17 @@
 type version struct{}
 
 func (version) Run() error {
-	revision := "unknown"
-	if info, ok := debug.ReadBuildInfo(); ok {
-		for _, s := range info.Settings {
-			if s.Key == "vcs.revision" {
-				revision = s.Value
-			}
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("version: this program was built without its build information")
+	}
+	line := "oatloft " + info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			line += " " + s.Value
 		}
 	}
-	fmt.Println("oatloft", revision)
+	fmt.Println(line, info.GoVersion)
 	return nil
 }
 
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -27,11 +27,11 @@
 const (
 	silentAfter = 5500 * time.Millisecond // an open task with a line unanswered so long is moved (rule: 7 s)
 	sweepEvery  = 250 * time.Millisecond
-	delayEvery  = time.Second            // a region's message delay is told so often while it is long
-	endEarly    = 15 * time.Millisecond  // the final answer leaves so long before the terminal quits
-	leaveAfter  = 800 * time.Millisecond // after SIGTERM new terminals still come for half of this
-	watchSilent = 5 * time.Second        // a sound watch brings something every 2 s
-	watchOpen   = 2 * time.Second        // a call to discovery is answered or given up in this time
+	delayEvery  = time.Second             // a region's message delay is told so often while it is long
+	endEarly    = 15 * time.Millisecond   // the final answer leaves so long before the terminal quits
+	leaveAfter  = 800 * time.Millisecond  // after SIGTERM new terminals still come for half of this
+	watchSilent = 4 * time.Second         // a sound watch brings something every 2 s; news count as told after 6 s
+	watchOpen   = 1500 * time.Millisecond // a call to discovery is answered or given up in this time
 )
 
 // Region is a server as discovery lists it.
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"oatloft/internal/core"
 )
 
 // Each file in testdata is an exchange of bytes, played against a whole balancer between scripted
@@ -279,6 +281,20 @@
 	return nil
 }
 
+// A probe under way to a region that moves or goes is reported: the module would wait for it for ever.
+func TestForgottenProbeIsReported(t *testing.T) {
+	p := start(t, "")
+	s, err := New(p.server.cfg, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.step(*s.cfg.Known)
+	s.probes["r1"] = &probe{busy: true, l: &link{s: s, role: probeRole, state: ended}}
+	if s.carryOut(core.ForgetRegion{Region: "r1"}); s.core.Counters.ProbesFailed != 1 || len(s.probes) != 0 {
+		t.Fatalf("%+v", s.core.Counters)
+	}
+}
+
 // A configuration that can't work is named in one line by its field.
 func TestConfigNamesTheField(t *testing.T) {
 	body, err := os.ReadFile("testdata/config.json")
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	stdnet "net"
@@ -34,6 +35,7 @@
 	dialLonger   = 50 * time.Millisecond  // dialing sockets outlive the reducer's patience by this
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
 	readWait     = 5 * time.Second        // a link that ends waits so long for the other side to read on
+	gateWait     = 2 * time.Millisecond
 	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
 )
 
@@ -104,7 +106,11 @@
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = int(s.limit) + 4096
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
-		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024})
+		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024,
+		Listen: func(network, addr string) (stdnet.Listener, error) {
+			l, err := stdnet.Listen(network, addr)
+			return gate{l, s}, err
+		}})
 	s.engine.OnOpen(func(c *nbio.Conn) {
 		s.sockets.Add(1)
 		_ = c.SetReadBuffer(socketBuffer)
@@ -129,6 +135,25 @@
 	return s, nil
 }
 
+// gate lets terminals in while there are descriptors for them. Without it nbio's accept loop would turn
+// at full speed where they run out, and close what it can't take in.
+type gate struct {
+	stdnet.Listener
+	s *Server
+}
+
+func (g gate) Accept() (stdnet.Conn, error) {
+	for {
+		if g.s.sockets.Load() <= g.s.limit-reserve/2 {
+			c, err := g.Listener.Accept()
+			if err == nil || errors.Is(err, stdnet.ErrClosed) {
+				return c, err
+			}
+		}
+		time.Sleep(gateWait)
+	}
+}
+
 // openFiles is how many descriptors there may be, by configuration and by the system.
 func openFiles(limit int) int64 {
 	var r syscall.Rlimit
@@ -600,8 +625,12 @@
 		if p := s.probes[e.Region]; p != nil {
 			if p.l != nil {
 				p.l.drop()
+				p.l = nil
 			}
 			delete(s.probes, e.Region)
+			if p.busy { // nobody will answer it, and the module asks no second time before it has an answer
+				s.step(core.Probed{Region: e.Region, Result: policy.Unreachable})
+			}
 		}
 	case core.Watch:
 		s.unwatch()
