--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -434,7 +434,7 @@
 			result = policy.Canceled
 		}
 		r.do(EndTerminal{Of: t.from, How: ev.How})
-		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: result, Final: true})
+		r.closed(t, result)
 		return
 	}
 	how := policy.Reset
@@ -471,7 +471,7 @@
 	case t.state == open:
 		r.Counters.EndedTerminal++
 		r.do(EndRegion{Of: t.from, How: Broken})
-		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+		r.closed(t, policy.Canceled)
 	default:
 		r.Counters.GoneUnanswered++
 		r.abandon(t)
@@ -482,7 +482,7 @@
 func (r *Reducer) abandon(t *transaction) {
 	if t.state == open {
 		r.do(EndRegion{Of: t.from, How: Closed})
-		r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+		r.closed(t, policy.Canceled)
 		return
 	}
 	if t.state != waiting {
@@ -502,6 +502,11 @@
 	r.over(t, nil)
 }
 
+// closed forgets a transaction that was open.
+func (r *Reducer) closed(t *transaction, how policy.Result) {
+	r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: how, Final: true})
+}
+
 // inOrder lists the transactions by their handles: the same events must lead to the same effects.
 func (r *Reducer) inOrder() []*transaction {
 	list := make([]*transaction, 0, len(r.open))
@@ -524,7 +529,7 @@
 func (r *Reducer) sendAway(t *transaction) {
 	r.Counters.Moved++
 	r.do(MoveTerminal{Of: t.from})
-	r.over(t, policy.Outcome{ID: t.ID, Attempt: t.attempt, Server: t.region, Result: policy.Canceled, Final: true})
+	r.closed(t, policy.Canceled)
 }
 
 // sendAllAway moves all terminals before the balancer leaves, where it would break their connections.
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -51,7 +51,8 @@
 	state   linkState
 	c       *nbio.Conn
 	tail    *tail  // writes once the other side has closed its sending
-	paused  bool   // reading waits for room on the other side, or in the queue
+	starved bool   // reading waits for the reducer's goroutine to catch up
+	paused  bool   // reading waits for room on the other side
 	finWant bool   // FIN follows what is buffered
 	rest    []byte // a copy of the backlog, for the hand-over
 
@@ -98,15 +99,18 @@
 	}
 }
 
-// full tells whether l has to wait; it is read again when the queue has been worked off.
-func (q *queue) full(l *link) bool {
+func (q *queue) long() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if len(q.list) < longQueue {
-		return false
-	}
+	return len(q.list) >= longQueue
+}
+
+// starve has l read again when the queue has been worked off.
+func (q *queue) starve(l *link) {
+	l.starved = true
+	q.mu.Lock()
 	q.starved = append(q.starved, l)
-	return true
+	q.mu.Unlock()
 }
 
 func (q *queue) take(into []event) ([]event, []*link) {
@@ -117,7 +121,10 @@
 	return list, starved
 }
 
-const readSize = 8 << 10
+const (
+	readSize    = 8 << 10
+	readsAtOnce = 16
+)
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, readSize); return &b }}
 
@@ -140,16 +147,29 @@
 	if l.c != c || l.state == ended {
 		return
 	}
-	if l.state == live && (l.paused || s.queue.full(l)) && !hasFin(c) {
-		return
+	if l.state == live && !hasFin(c) {
+		switch {
+		case l.paused || l.starved:
+			return
+		case s.queue.long():
+			s.queue.starve(l)
+			return
+		}
 	}
 	l.read(true)
 }
 
 // read takes in what the socket holds. Only the poller's goroutine may end the link: nbio reuses a
 // descriptor's number at once, and events that it has fetched but not yet handled would hit the newcomer.
+// A fast sender gets only so much at a time: nobody could pause the link while this holds its lock. Once
+// the other side has ended, all is read, since nbio closes the socket next; that is no more than the
+// system's buffer holds.
 func (l *link) read(poller bool) {
-	for {
+	for reads := 0; ; reads++ {
+		if reads >= readsAtOnce && l.state == live && !hasFin(l.c) {
+			l.s.queue.starve(l)
+			return
+		}
 		buf := buffers.Get().(*[]byte)
 		n, err := l.c.Read(*buf)
 		if n > 0 {
@@ -189,7 +209,19 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.paused = false
-	if l.state == live && l.c != nil {
+	l.readOn()
+}
+
+// feed reads on after the queue was worked off.
+func (l *link) feed() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.starved = false
+	l.readOn()
+}
+
+func (l *link) readOn() {
+	if l.state == live && l.c != nil && !l.paused && !l.starved {
 		l.read(false)
 	}
 }
@@ -266,7 +298,7 @@
 	} else if last {
 		l.endBy = time.Now().Add(readWait)
 	}
-	if last && l.c != nil && l.paused { // what the pause kept in the socket has to be read away
+	if last && l.c != nil && (l.paused || l.starved) { // what the pause kept in the socket has to be read away
 		l.read(false)
 	}
 }
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -295,6 +295,29 @@
 	}
 }
 
+// A terminal that sends without end can't fill the memory while the reducer's goroutine is busy.
+func TestReadingIsBounded(t *testing.T) {
+	p := start(t, "")
+	s, err := New(p.server.cfg, io.Discard)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(); err != nil { // and no Run: the reducer never gets its turn
+		t.Fatal(err)
+	}
+	c, err := stdnet.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetWriteDeadline(time.Now().Add(300 * time.Millisecond))
+	_, _ = c.Write(make([]byte, 64<<20))
+	s.queue.mu.Lock()
+	defer s.queue.mu.Unlock()
+	if n := len(s.queue.list); n > 2*readsAtOnce {
+		t.Fatal(n, "events wait")
+	}
+}
+
 // A configuration that can't work is named in one line by its field.
 func TestConfigNamesTheField(t *testing.T) {
 	body, err := os.ReadFile("testdata/config.json")
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -261,12 +261,7 @@
 		batch[i] = event{}
 	}
 	for _, l := range starved {
-		l.mu.Lock()
-		paused := l.paused
-		l.mu.Unlock()
-		if !paused {
-			l.resume()
-		}
+		l.feed()
 	}
 }
 
