--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -165,6 +165,7 @@
 		Attempt int
 		Region  string
 		Addr    string
+		Timeout time.Duration // when the dialing stops by itself, should the reducer not stop it before
 	}
 	// SendLine passes the first line on, telling the time left.
 	SendLine struct {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -31,7 +31,6 @@
 	attempt  int // number of the latest routed task; -1 before the first
 	region   string
 	sentAt   time.Duration
-	arrived  time.Duration
 	deadline time.Duration
 	until    time.Duration // the routed task is given up then
 	askedAt  time.Duration // open: when the oldest line without a reply passed; 0 if none
@@ -233,7 +232,7 @@
 		r.do(Answer{To: ev.From})
 		return
 	}
-	t := &transaction{Request: ev.Request, from: ev.From, at: ev.At, attempt: -1, arrived: r.now}
+	t := &transaction{Request: ev.Request, from: ev.From, at: ev.At, attempt: -1}
 	t.Patience = max(0, t.Patience-endEarly)
 	t.deadline = r.now + t.Patience
 	r.open[t.from], r.byID[t.ID] = t, t
@@ -276,13 +275,16 @@
 	r.Counters.Tasks++
 	t.attempt++
 	t.state, t.region, t.sentAt, t.until = dialing, g.ID, r.now, until
-	if t.at == "" { // all that were open before the run come at once, and may take longer
+	timeout := r.cfg.ConnectTimeout
+	if t.at != "" { // all that were open before the run come at once, and may take longer
+		timeout = t.deadline - r.now
+	} else {
 		r.wheel.set(r.now+r.cfg.ConnectTimeout, timer{kind: connectTimer, of: t.from, attempt: t.attempt})
 	}
 	if until < t.deadline {
 		r.wheel.set(until, timer{kind: untilTimer, of: t.from, attempt: t.attempt})
 	}
-	r.do(Dial{Of: t.from, Attempt: t.attempt, Region: g.ID, Addr: g.Dial})
+	r.do(Dial{Of: t.from, Attempt: t.attempt, Region: g.ID, Addr: g.Dial, Timeout: timeout})
 }
 
 // task finds a transaction by its routed task that is out; news of an earlier one concerns nobody.
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -289,7 +289,7 @@
 	ev := Opened{From: 1, At: "r2", Request: policy.Request{ID: "x", Class: "chat", Patience: 30 * time.Second}}
 	d := find[Dial](b, b.do(ev))
 	b.none(all2(b.pass(2 * time.Second))) // slow at the start of a run, when all come at once
-	if find[SendLine](b, b.do(Connected{1, d.Attempt})); d.Region != "r2" {
+	if find[SendLine](b, b.do(Connected{1, d.Attempt})); d.Region != "r2" || d.Timeout < 20*time.Second {
 		t.Fatal(d)
 	}
 	b.do(Up{Of: 1, Attempt: d.Attempt})
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -537,7 +537,7 @@
 		if t := s.terminals[e.Of]; t != nil {
 			t.answer, t.last, t.fromRegion = nil, platform.Line, platform.Scan{}
 			t.task = &link{s: s, role: taskRole, term: t, attempt: e.Attempt, region: e.Region}
-			s.dial(t.task, e.Addr, s.cfg.Core.ConnectTimeout+dialLonger)
+			s.dial(t.task, e.Addr, e.Timeout+dialLonger)
 		}
 	case core.SendLine:
 		if t := s.terminals[e.Of]; t != nil && t.task != nil {
