Take a handed-over socket out of nbio's epoll: a newcomer was closed in its place

Seen: under six test runs at once, a fresh terminal got EOF without an answer (no-room.txt). Ruled out: the gate, the limit on descriptors, and our own closes (poller's goroutine only). Cause: nbio never calls EPOLL_CTL_DEL (poller_epoll.go, deleteConn has it commented out) and relies on close(2), but handOver (link.go) keeps a second descriptor of the socket: its later events come under the old number, and nbio closes whoever has that by then.

--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"os"
@@ -47,7 +48,7 @@
 	if err := server.Start(); err != nil {
 		return err
 	}
-	return server.Run(signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1))
+	return server.Run(context.Background(), signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1))
 }
 
 // signals turns signals into plain events.
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -9,6 +9,7 @@
 	"io"
 	stdnet "net"
 	"os"
+	"reflect"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -138,7 +139,7 @@
 // what is still to be written to it; so the read that meets the end must hand such a socket on before
 // it returns.
 func (s *Server) onRead(c *nbio.Conn) {
-	l, _ := c.Session().(*link)
+	l := s.linkOf(c)
 	if l == nil {
 		return
 	}
@@ -431,10 +432,24 @@
 	go l.tail.run()
 	c := l.c
 	l.c = nil
+	unwatch(c)
 	_ = c.Close()
 	return true
 }
 
+// unwatch takes a connection out of nbio's epoll. nbio leaves that to close(2), which does it only for
+// the last descriptor of a socket; while the tail has another, events would go on coming under the
+// old number, and nbio would close whoever has got it since. The poller's descriptor is not exported.
+func unwatch(c *nbio.Conn) {
+	poller := reflect.ValueOf(c).Elem().FieldByName("p")
+	if !poller.IsValid() || poller.Kind() != reflect.Pointer {
+		return
+	}
+	if epoll := poller.Elem().FieldByName("epfd"); epoll.IsValid() && epoll.CanInt() {
+		control(c, func(fd int) { _ = syscall.EpollCtl(int(epoll.Int()), syscall.EPOLL_CTL_DEL, fd, nil) })
+	}
+}
+
 func (t *tail) push(b []byte) {
 	t.mu.Lock()
 	t.todo = append(t.todo, b...)
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"io"
@@ -119,7 +120,14 @@
 		t.Fatal(err)
 	}
 	p.addr = p.server.Addr()
-	go func() { p.ended <- p.server.Run(p.leave, nil) }()
+	// A server left running would call at ports that belong to the next exchange by then.
+	ctx, cancel := context.WithCancel(context.Background())
+	over := make(chan struct{})
+	t.Cleanup(func() { cancel(); <-over })
+	go func() {
+		defer close(over)
+		p.ended <- p.server.Run(ctx, p.leave, nil)
+	}()
 	return p
 }
 
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -66,11 +66,12 @@
 
 // Server is a running balancer.
 type Server struct {
-	cfg     Config
-	engine  *nbio.Engine
-	queue   queue
-	core    *core.Reducer
-	sockets atomic.Int64
+	cfg       Config
+	engine    *nbio.Engine
+	queue     queue
+	core      *core.Reducer
+	sockets   atomic.Int64 // connections, and dials under way
+	published atomic.Int64
 
 	terminals map[core.Handle]*terminal
 	next      core.Handle
@@ -118,16 +119,13 @@
 		if c.Session() != nil { // dialed
 			return
 		}
-		l := new(link)
-		c.SetSession(l)
-		l.mu.Lock() // what comes by way of epoll is ordered by this
-		l.s, l.role, l.c, l.state = s, terminalRole, c, live
-		l.mu.Unlock()
+		l := &link{s: s, role: terminalRole, c: c, state: live}
+		s.publish(c, l)
 		s.queue.post(event{kind: evOpened, link: l})
 	})
 	s.engine.OnRead(s.onRead)
 	s.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, n int) {
-		if l, ok := c.Session().(*link); ok {
+		if l := s.linkOf(c); l != nil {
 			l.wrote(n)
 		}
 	})
@@ -135,6 +133,19 @@
 	return s, nil
 }
 
+// publish ties a link to nbio's connection, linkOf finds it again. nbio's goroutines meet in epoll, which
+// orders nothing in Go's memory model; the count does.
+func (s *Server) publish(c *nbio.Conn, l *link) {
+	c.SetSession(l)
+	s.published.Add(1)
+}
+
+func (s *Server) linkOf(c *nbio.Conn) *link {
+	l, _ := c.Session().(*link)
+	s.published.Load()
+	return l
+}
+
 // gate lets terminals in while there are descriptors for them. Without it nbio's accept loop would turn
 // at full speed where they run out, and close what it can't take in.
 type gate struct {
@@ -170,7 +181,7 @@
 // onClose is nbio's last word on a connection: it tells of ends that no read met.
 func (s *Server) onClose(c *nbio.Conn) {
 	s.sockets.Add(-1)
-	l, _ := c.Session().(*link)
+	l := s.linkOf(c)
 	if l == nil {
 		return
 	}
@@ -213,8 +224,9 @@
 // Addr is where terminals connect.
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
-// Run serves until the reducer says that all is done. leave and report are the operator's signals.
-func (s *Server) Run(leave, report <-chan struct{}) error {
+// Run serves until the reducer says that all is done, or ctx ends. leave and report are the operator's
+// signals.
+func (s *Server) Run(ctx context.Context, leave, report <-chan struct{}) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	var exitBy time.Time
@@ -235,6 +247,8 @@
 			s.step(core.Leave{})
 		case <-report:
 			s.Report()
+		case <-ctx.Done():
+			return ctx.Err()
 		}
 		s.work()
 	}
@@ -675,8 +689,8 @@
 			}
 			return
 		}
-		c.SetSession(l)
 		l.c, l.state = c, live
+		s.publish(c, l)
 		s.queue.post(event{kind: evConnected, link: l})
 		_, _ = s.engine.AddConn(c) // a failure closes c, and onClose tells of it
 	}()
