SIGHUP reads the configuration again and hands the watch over to the new discovery

Checked: 129 is 128 + SIGHUP, and cmd/oatloft/main.go named SIGTERM, SIGINT and SIGUSR1 only. Ruled out a fault of the program's own: the log held nothing before the end.

Changed: main.go catches its signals before anything listens and reads the file again (ReloadConfig: the file's discovery wins over PROXY_DISCOVERY of the start). Server.reload takes it whole or not at all; the reducer gets Reconfigured, opens the new watch from its last seq, and the host keeps the old watch until the new one has answered, so nothing is missed and what comes meanwhile is not applied over newer news.

--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -36,6 +36,9 @@
 type serve struct{ source }
 
 func (s *serve) Run() error {
+	// Caught before anything listens: a signal that nobody catches ends the program.
+	leave, report := signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1)
+	again := signals(syscall.SIGHUP)
 	cfg, err := s.load()
 	if err != nil {
 		return err
@@ -48,7 +51,24 @@
 	if err := server.Start(); err != nil {
 		return err
 	}
-	return server.Run(context.Background(), signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1))
+	return server.Run(context.Background(), leave, report, s.reloads(again))
+}
+
+// reloads reads the configuration again at each signal. A file that can't work is one line in the log, and
+// what was read before stays.
+func (s *serve) reloads(again <-chan struct{}) <-chan net.Config {
+	out := make(chan net.Config)
+	go func() {
+		for range again {
+			cfg, err := net.ReloadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+			if err != nil {
+				fmt.Fprintln(os.Stderr, "oatloft: reload:", err, "(the old configuration stays)")
+				continue
+			}
+			out <- cfg
+		}
+	}()
+	return out
 }
 
 // signals turns signals into plain events.
--- /dev/null
+++ b/cmd/oatloft/main_test.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// SIGHUP once ended the program. It has the file read again: one that can't work is a line in the log and
+// changes nothing, a good one holds, also where PROXY_DISCOVERY named another address at the start.
+func TestReload(t *testing.T) {
+	var calls [2]chan string
+	var addrs [2]string
+	for i := range calls {
+		l, err := net.Listen("tcp", "127.8.1.2:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = l.Close() })
+		calls[i], addrs[i] = make(chan string, 99), l.Addr().String()
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					line, _ := bufio.NewReader(c).ReadString('\n')
+					fmt.Fprint(c, "HTTP/1.1 200 OK\r\n\r\n\n")
+					calls[i] <- line
+				}()
+			}
+		}()
+	}
+	body, err := os.ReadFile("../../internal/net/testdata/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := serve{source{Config: filepath.Join(t.TempDir(), "config.json"), Discovery: addrs[0]}}
+	write := func(discovery string) {
+		text := strings.NewReplacer("$discovery", discovery, "$r1", "127.8.1.2:1", "$r2", "127.8.1.2:2").Replace(string(body))
+		if err := os.WriteFile(s.Config, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	call := func(i int) {
+		t.Helper()
+		select {
+		case line := <-calls[i]:
+			if !strings.HasPrefix(line, "GET /registry/instances?watch=1&from=7 ") {
+				t.Fatal(line)
+			}
+		case <-time.After(5 * time.Second):
+			t.Fatal("no call at", i)
+		}
+	}
+	write("127.8.1.2:3")
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run() }()
+	call(0) // the variable's address, not the file's
+	write("nowhere")
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	select {
+	case err := <-ended:
+		t.Fatal("ended:", err)
+	case <-calls[1]:
+		t.Fatal("a call by a file that can't work")
+	case <-time.After(300 * time.Millisecond):
+	}
+	write(addrs[1])
+	_ = syscall.Kill(os.Getpid(), syscall.SIGHUP)
+	call(1)
+	_ = syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-ended; err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -106,11 +106,13 @@
 		ToRegion bool
 		Full     bool
 	}
-	// Listed is a list of regions, or changes to it; Whole and Cached as in policy.ListKind.
+	// Listed is a list of regions, or changes to it; Whole and Cached as in policy.ListKind. Former tells
+	// that it came by the watch that the latest one is to follow.
 	Listed struct {
 		Kind    policy.ListKind
 		Seq     int64
 		Regions []Region
+		Former  bool
 	}
 	// WatchAlive tells that discovery said something, if only that nothing changed.
 	WatchAlive struct{}
@@ -122,6 +124,11 @@
 		Result policy.Result
 		Report *policy.Report
 	}
+	// Reconfigured brings new settings. Moved tells that discovery is to be asked elsewhere from now on.
+	Reconfigured struct {
+		Config
+		Moved bool
+	}
 	// Leave tells that the balancer is to go (SIGTERM).
 	Leave struct{}
 	// Tick lets the time pass.
@@ -151,6 +158,7 @@
 func (WatchAlive) event()    {}
 func (WatchEnded) event()    {}
 func (Probed) event()        {}
+func (Reconfigured) event()  {}
 func (Leave) event()         {}
 func (Tick) event()          {}
 
@@ -215,7 +223,7 @@
 	}
 	// ForgetRegion lets go of what is kept for a region that is gone.
 	ForgetRegion struct{ Region string }
-	// Watch asks discovery for all changes after Seq; an earlier watch ends.
+	// Watch asks discovery for all changes after Seq; an earlier watch goes on until this one has answered.
 	Watch struct{ Seq int64 }
 	// Unwatch ends the watch.
 	Unwatch struct{}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -86,14 +86,19 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{cfg: cfg, module: module, open: map[Handle]*transaction{},
+	r := &Reducer{module: module, open: map[Handle]*transaction{},
 		byID: map[string]*transaction{}, regions: map[string]*region{}}
+	r.configure(cfg)
+	return r, nil
+}
+
+func (r *Reducer) configure(cfg Config) {
+	r.cfg, r.delayAim = cfg, 0
 	for _, k := range cfg.Policy.Classes {
 		if aim := k.MessageAim / 3; aim > 0 && (r.delayAim == 0 || aim < r.delayAim) {
 			r.delayAim = aim
 		}
 	}
-	return r, nil
 }
 
 // Owed is the number of transactions without their final answer, Open that of all.
@@ -152,6 +157,12 @@
 			r.Counters.ProbesFailed++
 		}
 		r.feed(policy.ProbeResult{Server: ev.Region, Result: ev.Result, Report: ev.Report})
+	case Reconfigured:
+		r.configure(ev.Config)
+		r.feed(policy.Settings{Config: ev.Policy})
+		if ev.Moved {
+			r.watch()
+		}
 	case Leave:
 		if !r.leaving {
 			r.leaving, r.leaveAt = true, r.now+leaveAfter
@@ -215,11 +226,9 @@
 			r.feed(policy.ProbeResult{Server: a.Server, Result: policy.Unreachable})
 		}
 	case policy.Subscribe:
-		r.Counters.Watches++
-		r.watching, r.watchUp, r.watchHeard = true, false, r.now
-		r.watchCalls++
-		r.wheel.set(r.now+watchOpen, timer{kind: watchTimer, attempt: r.watchCalls})
-		r.do(Watch{Seq: r.seq})
+		if !r.watching || r.watchUp { // else a call is under way, and its answer is the module's as well
+			r.watch()
+		}
 	case policy.SetTimer:
 		r.wheel.set(r.now+a.After, timer{kind: wakeTimer, token: a.Token})
 	}
@@ -548,7 +557,10 @@
 
 func (r *Reducer) list(ev Listed) {
 	r.Counters.Lists++
-	if ev.Kind != policy.ListCached {
+	if ev.Former && ev.Kind == policy.ListDelta && ev.Seq <= r.seq {
+		return // the later watch has brought newer news already
+	}
+	if ev.Kind != policy.ListCached && !ev.Former {
 		r.watchUp, r.watchHeard = true, r.now
 	}
 	r.seq = max(r.seq, ev.Seq)
@@ -594,6 +606,15 @@
 	}
 }
 
+// watch calls discovery for what has changed since the last version heard of.
+func (r *Reducer) watch() {
+	r.Counters.Watches++
+	r.watching, r.watchUp, r.watchHeard = true, false, r.now
+	r.watchCalls++
+	r.wheel.set(r.now+watchOpen, timer{kind: watchTimer, attempt: r.watchCalls})
+	r.do(Watch{Seq: r.seq})
+}
+
 func (r *Reducer) watchEnded() {
 	if !r.watching {
 		return
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -51,6 +51,20 @@
 	return ParseConfig(body, name, listen, discovery)
 }
 
+// ReloadConfig reads it again while the balancer serves. Discovery may have moved since the start, so what
+// the file says of it now wins over what was given beside it then.
+func ReloadConfig(path, name, listen, discovery string) (Config, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return Config{}, fmt.Errorf("config: %w", err)
+	}
+	var file struct {
+		Discovery string `json:"discovery"`
+	}
+	_ = json.Unmarshal(body, &file) // ParseConfig tells what is wrong
+	return ParseConfig(body, name, listen, either(file.Discovery, discovery))
+}
+
 // ParseConfig reads a configuration.
 func ParseConfig(body []byte, name, listen, discovery string) (Config, error) {
 	var file configFile
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -36,6 +36,7 @@
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
 	readWait     = 5 * time.Second        // a link that ends waits so long for the other side to read on
 	gateWait     = 2 * time.Millisecond
+	moreFiles    = 4096                   // nbio's table of connections is as much longer than the limit at the start
 	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
 )
 
@@ -64,6 +65,14 @@
 	begun []byte
 }
 
+// watch is a call to discovery that stays open.
+type watch struct {
+	l        *link
+	in       platform.WatchReader
+	seq      int64
+	answered bool
+}
+
 // Server is a running balancer.
 type Server struct {
 	cfg       Config
@@ -76,20 +85,20 @@
 	terminals map[core.Handle]*terminal
 	next      core.Handle
 	probes    map[string]*probe
-	watch     *link
-	watchIn   platform.WatchReader
-	watchSeq  int64
+	watch     *watch
+	former    *watch // goes on until the one that follows it has answered
 	finishing map[*link]struct{}
 	moving    map[*terminal]struct{}
 	effects   []core.Effect
 	out       []byte
 	batch     []event
 	exit      bool
-	limit     int64
-	short     bool // of memory
+	limit     atomic.Int64 // of descriptors
+	short     bool         // of memory
 	checkAt   time.Time
 	counters  struct {
 		Accepted, LinesIn, BytesToRegions, BytesToTerminals, Pings, Malformed, NoRoom int64
+		Reloads                                                                       int64
 	}
 	log io.Writer
 }
@@ -103,9 +112,9 @@
 	s := &Server{cfg: cfg, core: r, terminals: map[core.Handle]*terminal{}, probes: map[string]*probe{},
 		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log,
 		queue: queue{bell: make(chan struct{}, 1)}}
-	s.limit = openFiles(cfg.Sockets)
+	s.limit.Store(openFiles(cfg.Sockets))
 	logging.SetLevel(logging.LevelNone)
-	nbio.MaxOpenFiles = int(s.limit) + 4096
+	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
 		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024,
 		Listen: func(network, addr string) (stdnet.Listener, error) {
@@ -155,7 +164,7 @@
 
 func (g gate) Accept() (stdnet.Conn, error) {
 	for {
-		if g.s.sockets.Load() <= g.s.limit-reserve/2 {
+		if g.s.sockets.Load() <= g.s.limit.Load()-reserve/2 {
 			c, err := g.Listener.Accept()
 			if err == nil || errors.Is(err, stdnet.ErrClosed) {
 				return c, err
@@ -225,8 +234,8 @@
 func (s *Server) Addr() string { return s.engine.Addrs[0] }
 
 // Run serves until the reducer says that all is done, or ctx ends. leave and report are the operator's
-// signals.
-func (s *Server) Run(ctx context.Context, leave, report <-chan struct{}) error {
+// signals, reload brings configurations read anew.
+func (s *Server) Run(ctx context.Context, leave, report <-chan struct{}, reload <-chan Config) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
 	var exitBy time.Time
@@ -247,6 +256,8 @@
 			s.step(core.Leave{})
 		case <-report:
 			s.Report()
+		case cfg := <-reload:
+			s.reload(cfg)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -256,6 +267,24 @@
 	return nil
 }
 
+// reload takes a configuration read anew, in whole or not at all. Connections, load reports and what is
+// known of the regions stay; the list that the file holds is older than what a watch has brought since.
+func (s *Server) reload(cfg Config) {
+	if cfg.Listen != s.cfg.Listen {
+		fmt.Fprintf(s.log, "oatloft: reload: listen: can't change from %s to %s while serving; the old configuration stays\n",
+			s.cfg.Listen, cfg.Listen)
+		return
+	}
+	moved := cfg.Discovery != s.cfg.Discovery
+	cfg.Zero = s.cfg.Zero
+	s.cfg = cfg
+	s.counters.Reloads++
+	s.limit.Store(min(openFiles(cfg.Sockets), int64(nbio.MaxOpenFiles)-moreFiles/2))
+	cfg.SetLimits()
+	s.step(core.Reconfigured{Config: cfg.Core, Moved: moved})
+	fmt.Fprintf(s.log, "oatloft: reloaded, discovery at %s\n", cfg.Discovery)
+}
+
 // Report prints the counters as one line of JSON.
 func (s *Server) Report() {
 	line, err := json.Marshal(map[string]any{"name": s.cfg.Name, "sockets": s.sockets.Load(),
@@ -300,8 +329,11 @@
 	case probeRole:
 		s.fromProbe(s.probes[l.region], l, e)
 	case watchRole:
-		if l == s.watch {
-			s.fromWatch(l, e)
+		switch {
+		case s.watch != nil && s.watch.l == l:
+			s.fromWatch(s.watch, e)
+		case s.former != nil && s.former.l == l:
+			s.fromFormer(e)
 		}
 	}
 }
@@ -380,7 +412,7 @@
 		t.begun, t.asked = nil, true
 		open.Keep()
 		t.open = open
-		if s.short || s.sockets.Load() > s.limit-reserve {
+		if s.short || s.sockets.Load() > s.limit.Load()-reserve {
 			s.counters.NoRoom++
 			t.over = true
 			s.finalAnswer(t, platform.AppendShort(nil, 0))
@@ -642,12 +674,15 @@
 			}
 		}
 	case core.Watch:
-		s.unwatch()
-		s.watch, s.watchSeq = &link{s: s, role: watchRole}, e.Seq
-		s.watchIn = platform.WatchReader{Zero: s.cfg.Zero}
-		s.dial(s.watch, s.cfg.Discovery, 2*time.Second)
+		if s.watch != nil && s.watch.answered {
+			drop(&s.former)
+			s.former, s.watch = s.watch, nil
+		}
+		drop(&s.watch)
+		s.watch = &watch{l: &link{s: s, role: watchRole}, in: platform.WatchReader{Zero: s.cfg.Zero}, seq: e.Seq}
+		s.dial(s.watch.l, s.cfg.Discovery, 2*time.Second)
 	case core.Unwatch:
-		s.unwatch()
+		drop(&s.watch)
 	case core.Exit:
 		s.exit = true
 	}
@@ -657,7 +692,7 @@
 // connection over: nbio's own DialAsync reads an address's first four bytes, which are zeros in the long
 // form that ResolveTCPAddr returns, and so connects to 0.0.0.0.
 func (s *Server) dial(l *link, addr string, timeout time.Duration) {
-	if s.sockets.Load() > s.limit-reserve/2 {
+	if s.sockets.Load() > s.limit.Load()-reserve/2 {
 		l.state = ended // nobody else knows it yet
 		s.queue.post(event{kind: evRefused, link: l})
 		return
@@ -756,35 +791,57 @@
 	}
 }
 
-func (s *Server) unwatch() {
-	if s.watch != nil {
-		s.watch.drop()
-		s.watch = nil
+func drop(w **watch) {
+	if *w != nil {
+		(*w).l.drop()
+		*w = nil
 	}
 }
 
-func (s *Server) fromWatch(l *link, e event) {
+func (s *Server) fromWatch(w *watch, e event) {
 	switch e.kind {
 	case evConnected:
-		l.write(platform.AppendWatch(nil, s.cfg.Discovery, s.watchSeq))
+		w.l.write(platform.AppendWatch(nil, s.cfg.Discovery, w.seq))
 	case evRefused, evEnded, evBroken:
 		s.watch = nil
 		s.step(core.WatchEnded{})
 	case evData:
-		err := s.watchIn.Read(*e.data, func(list *core.Listed) {
+		err := w.in.Read(*e.data, func(list *core.Listed) {
+			w.answered = true
+			drop(&s.former)
 			if list == nil {
 				s.step(core.WatchAlive{})
 			} else {
 				s.step(*list)
 			}
 		})
-		if err != nil && l == s.watch {
-			s.unwatch()
+		if err != nil && w == s.watch {
+			drop(&s.watch)
 			s.step(core.WatchEnded{})
 		}
 	}
 }
 
+// fromFormer takes what still comes by the watch that is to be followed. Its end is no loss of news: the
+// reducer minds the one that follows.
+func (s *Server) fromFormer(e event) {
+	var err error
+	switch e.kind {
+	case evEnded, evBroken:
+		s.former = nil
+	case evData:
+		err = s.former.in.Read(*e.data, func(list *core.Listed) {
+			if list != nil {
+				list.Former = true
+				s.step(*list)
+			}
+		})
+	}
+	if err != nil {
+		drop(&s.former)
+	}
+}
+
 // ticked does what sockets need by the clock.
 func (s *Server) ticked(now time.Time) {
 	for region, p := range s.probes {
--- a/policy/api.go
+++ b/policy/api.go
@@ -222,6 +222,9 @@
 // ClientGone tells that the client left; the request is closed.
 type ClientGone struct{ ID string }
 
+// Settings brings new settings: what is held, known and open stays. New has found them good.
+type Settings struct{ Config }
+
 // Wake is a timer that is due.
 type Wake struct{ Token string }
 
@@ -234,6 +237,7 @@
 func (Delay) event()       {}
 func (ProbeResult) event() {}
 func (ClientGone) event()  {}
+func (Settings) event()    {}
 func (Wake) event()        {}
 
 // Action is something the host has to do: one of the types below.
--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -386,3 +386,26 @@
 		}
 	}
 }
+
+// A new configuration while the balancer serves: what stands goes on counting for its tenant.
+func TestSettingsAreTakenWhileServing(t *testing.T) {
+	r := newRig(t, testConfig(), servers(2)...)
+	cfg := testConfig()
+	cfg.Tenants = []Tenant{{Name: "a", Connections: 10}}
+	r.feed(Settings{cfg})
+	r.feed(Adopted{Request: Request{ID: "x", Class: "safe", Tenant: "a"}, Server: "s00"})
+	cfg.Tenants, cfg.MaxAttempts = []Tenant{{Name: "a", Connections: 20}}, 1
+	cfg.Classes = cfg.Classes[:1]
+	r.feed(Settings{cfg})
+	if a := r.b.tenants["a"]; a.open != 1 || a.Connections != 20 || r.b.cfg.MaxAttempts != 1 || len(r.b.classes) != 1 {
+		t.Errorf("%+v, %d attempts, %d classes", a, r.b.cfg.MaxAttempts, len(r.b.classes))
+	}
+	r.feed(Outcome{ID: "x", Server: "s00", Result: Canceled, Final: true})
+	if a := r.b.tenants["a"]; a.open != 0 {
+		t.Errorf("%d open", a.open)
+	}
+	cfg.Balancers = 0
+	if r.feed(Settings{cfg}); r.b.cfg.Balancers == 0 {
+		t.Error("settings that can't work were taken")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -208,8 +208,12 @@
 	return time.Duration(b.rng.Float64() * float64(d))
 }
 
-// index finds classes and tenants by name, and the tightest of the message aims.
+// index finds classes and tenants by name, and the tightest of the message aims. What was placed under
+// earlier settings keeps its class, and counts for its tenant.
 func (b *Balancer) index() {
+	b.classes, b.messageAim = map[string]*Class{}, 0
+	old := b.tenants
+	b.tenants = map[string]*tenant{}
 	for i := range b.cfg.Classes {
 		k := &b.cfg.Classes[i]
 		b.classes[k.Name] = k
@@ -218,6 +222,9 @@
 		}
 	}
 	for _, t := range b.cfg.Tenants {
-		b.tenants[t.Name] = &tenant{Tenant: t}
+		if b.tenants[t.Name] = old[t.Name]; b.tenants[t.Name] == nil {
+			b.tenants[t.Name] = &tenant{}
+		}
+		b.tenants[t.Name].Tenant = t
 	}
 }
