Bound terminals that say nothing, and turn unreadable first lines away before a region

Checked in the code: nothing bounded the wait for a first line (server.go, firstLine; core knew a terminal only from Opened on), so the gate could fill with silent ones; ParseOpen took times such as 1e9 and any bytes, and a class nobody knows was refused by the module or, with at=, passed on. link.read read a finishing link until it was empty: a sender at full speed held the poller, and with the lock the reducer's goroutine.

Changed: the reducer minds who has arrived (Arrived, Crowded) and answers after 2 s, or sooner where descriptors run short; unknown classes and odd bytes are answered ERR; an unserved terminal is read 8 KiB at a time, a finished one 256 KiB in all.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -28,6 +28,8 @@
 	silentAfter = 5500 * time.Millisecond // an open task with a line unanswered so long is moved (rule: 7 s)
 	sweepEvery  = 250 * time.Millisecond
 	delayEvery  = time.Second             // a region's message delay is told so often while it is long
+	firstLineIn = 2 * time.Second         // a terminal has said what it wants by then, or is answered that it failed
+	youngest    = 10 * time.Millisecond   // nobody is sent off sooner: the line may be on its way
 	endEarly    = 15 * time.Millisecond   // the final answer leaves so long before the terminal quits
 	leaveAfter  = 800 * time.Millisecond  // after SIGTERM new terminals still come for half of this
 	watchSilent = 4 * time.Second         // a sound watch brings something every 2 s; news count as told after 6 s
@@ -59,6 +61,10 @@
 
 // The events.
 type (
+	// Arrived is a terminal that has not said yet what it wants.
+	Arrived struct{ From Handle }
+	// Crowded tells that descriptors run short, and how many more should be free.
+	Crowded struct{ By int }
 	// Opened is a terminal's first line. At names the region that held it before the run.
 	Opened struct {
 		From Handle
@@ -145,6 +151,8 @@
 	Last  Ending
 }
 
+func (Arrived) event()       {}
+func (Crowded) event()       {}
 func (Opened) event()        {}
 func (TerminalEnded) event() {}
 func (Invalid) event()       {}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -44,13 +44,18 @@
 	toldAt   time.Duration
 }
 
+type arrival struct {
+	from Handle
+	at   time.Duration
+}
+
 // Counters count what the balancer has done since its start.
 type Counters struct {
 	Taken, Up, Short, Failed, GoneUnanswered, Moved, Silent    int64
 	Tasks, TasksUp, Unreachable, Reset, TurnedAway, Erred      int64
 	TimedOut, NotSent, Probes, ProbesFailed, Lists, Watches    int64
 	WatchesBroken, Loads, Delays, EndedByRegion, EndedTerminal int64
-	Adopted, MidFlow                                           int64
+	Adopted, MidFlow, Unreadable, SaidNothing, SentOff         int64
 }
 
 // Reducer holds the state of one balancer. It is not safe for concurrent use.
@@ -68,6 +73,9 @@
 	wheel      wheel
 	open       map[Handle]*transaction
 	byID       map[string]*transaction
+	quiet      map[Handle]struct{} // terminals whose first line has not come ...
+	arrivals   []arrival           // ... in the order in which they came, with some that have spoken since
+	classes    map[string]bool
 	regions    map[string]*region
 	listed     bool
 	seq        int64
@@ -86,15 +94,16 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Reducer{module: module, open: map[Handle]*transaction{},
+	r := &Reducer{module: module, open: map[Handle]*transaction{}, quiet: map[Handle]struct{}{},
 		byID: map[string]*transaction{}, regions: map[string]*region{}}
 	r.configure(cfg)
 	return r, nil
 }
 
 func (r *Reducer) configure(cfg Config) {
-	r.cfg, r.delayAim = cfg, 0
+	r.cfg, r.delayAim, r.classes = cfg, 0, map[string]bool{}
 	for _, k := range cfg.Policy.Classes {
+		r.classes[k.Name] = true
 		if aim := k.MessageAim / 3; aim > 0 && (r.delayAim == 0 || aim < r.delayAim) {
 			r.delayAim = aim
 		}
@@ -115,11 +124,19 @@
 	}
 	r.now, r.out = max(r.now, now), out
 	switch ev := ev.(type) {
+	case Arrived:
+		r.quiet[ev.From] = struct{}{}
+		r.arrivals = append(r.arrivals, arrival{ev.From, r.now})
+	case Crowded:
+		r.Counters.SentOff += r.sendOff(ev.By, youngest, true)
 	case Opened:
+		delete(r.quiet, ev.From)
 		r.opened(ev)
 	case TerminalEnded:
+		delete(r.quiet, ev.From)
 		r.terminalEnded(ev)
 	case Invalid:
+		delete(r.quiet, ev.From)
 		if t := r.open[ev.From]; t != nil {
 			r.abandon(t)
 		} else {
@@ -236,7 +253,8 @@
 
 func (r *Reducer) opened(ev Opened) {
 	r.Counters.Taken++
-	if r.open[ev.From] != nil || r.byID[ev.ID] != nil {
+	if r.open[ev.From] != nil || r.byID[ev.ID] != nil || !r.classes[ev.Class] {
+		r.Counters.Unreadable++
 		r.Counters.Failed++
 		r.do(Answer{To: ev.From})
 		return
@@ -680,9 +698,25 @@
 	}
 }
 
+// sendOff answers the terminals that have waited longest without a word, most of them at a time and none
+// younger than least. Nothing else bounds that wait, and each holds a descriptor that another needs.
+func (r *Reducer) sendOff(most int, least time.Duration, short bool) (n int64) {
+	for len(r.arrivals) > 0 && int(n) < most && r.now-r.arrivals[0].at >= least {
+		from := r.arrivals[0].from
+		r.arrivals = r.arrivals[1:]
+		if _, ok := r.quiet[from]; ok {
+			delete(r.quiet, from)
+			r.do(Answer{To: from, Short: short})
+			n++
+		}
+	}
+	return n
+}
+
 // sweep ends what has gone silent: a region's machine that vanished keeps its connections open and says
 // nothing, and so does discovery's.
 func (r *Reducer) sweep() {
+	r.Counters.SaidNothing += r.sendOff(len(r.arrivals), firstLineIn, false)
 	for _, t := range r.inOrder() {
 		if t.state == open && t.ended > 0 && r.now-t.ended > silentAfter {
 			r.do(EndTerminal{Of: t.from, How: Closed})
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -342,3 +342,31 @@
 		}
 	}
 }
+
+// Terminals that say nothing once held their descriptors for ever. They are answered within the 3 s that are
+// owed, and where descriptors run short at once, the oldest first; one that has just come keeps its chance.
+func TestTerminalsThatSayNothing(t *testing.T) {
+	b := newBed(t, nil)
+	for h := Handle(1); h <= 5; h++ {
+		b.do(Arrived{h})
+		b.pass(20 * time.Millisecond)
+	}
+	b.open(2, time.Second)
+	b.do(TerminalEnded{3, Broken})
+	if e := find[Answer](b, b.do(Crowded{By: 1})); e.To != 1 || !e.Short {
+		t.Fatal(e)
+	}
+	b.do(Arrived{6})
+	if got := all[Answer](b.do(Crowded{By: 9})); len(got) != 2 || got[0].To != 4 || got[1].To != 5 {
+		t.Fatalf("%+v", got)
+	}
+	if got := all[Answer](b.pass(1900 * time.Millisecond)); len(got) != 1 || got[0].To != 2 {
+		t.Fatalf("%+v", got)
+	}
+	if e := find[Answer](b, b.pass(400*time.Millisecond)); e.To != 6 || e.Short {
+		t.Fatal(e)
+	}
+	if len(b.r.quiet)+len(b.r.arrivals) > 0 {
+		t.Fatal(b.r.quiet, b.r.arrivals)
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -55,6 +55,9 @@
 	starved bool   // reading waits for the reducer's goroutine to catch up
 	paused  bool   // reading waits for room on the other side
 	finWant bool   // FIN follows what is buffered
+	known   bool   // a terminal that is served; of others no more is read than a first line can hold
+	junk    int    // finishing: bytes read away
+	cut     bool   // finishing: neither side may say more; the poller closes it at its next event
 	rest    []byte // a copy of the backlog, for the hand-over
 
 	handed, written atomic.Int64 // bytes
@@ -125,6 +128,7 @@
 const (
 	readSize    = 8 << 10
 	readsAtOnce = 16
+	junkAtMost  = 256 << 10 // read away from a link that ends, so that its last words aren't lost to a reset
 )
 
 var buffers = sync.Pool{New: func() any { b := make([]byte, readSize); return &b }}
@@ -148,8 +152,12 @@
 	if l.c != c || l.state == ended {
 		return
 	}
-	if l.state == live && !hasFin(c) {
+	if !hasFin(c) {
 		switch {
+		case l.state == finishing:
+			if l.junk > junkAtMost && !l.cut {
+				return
+			}
 		case l.paused || l.starved:
 			return
 		case s.queue.long():
@@ -164,18 +172,27 @@
 // descriptor's number at once, and events that it has fetched but not yet handled would hit the newcomer.
 // A fast sender gets only so much at a time: nobody could pause the link while this holds its lock. Once
 // the other side has ended, all is read, since nbio closes the socket next; that is no more than the
-// system's buffer holds.
+// system's buffer holds. A link that is finishing is read away up to a bound: one that sends at full
+// speed would hold the poller, and with the lock the reducer's goroutine, for as long as it likes.
 func (l *link) read(poller bool) {
+	most, unknown := readsAtOnce, l.role == terminalRole && !l.known
+	if unknown {
+		most = 1 // longer than any first line
+	}
 	for reads := 0; ; reads++ {
-		if reads >= readsAtOnce && l.state == live && !hasFin(l.c) {
+		if l.state == live && reads >= most && !hasFin(l.c) {
 			l.s.queue.starve(l)
 			return
 		}
+		if l.state != live && l.junk > junkAtMost && !l.cut && !hasFin(l.c) {
+			return // the rest stays in the socket until the link is closed by force
+		}
 		buf := buffers.Get().(*[]byte)
 		n, err := l.c.Read(*buf)
 		if n > 0 {
 			*buf = (*buf)[:n]
-			if l.state != live {
+			if l.state != live || unknown && reads > most { // nobody will use it
+				l.junk += n
 				release(buf)
 				continue
 			}
@@ -205,6 +222,13 @@
 	}
 }
 
+// knows tells that the terminal is served from now on.
+func (l *link) knows() {
+	l.mu.Lock()
+	l.known = true
+	l.mu.Unlock()
+}
+
 // resume reads on after a pause.
 func (l *link) resume() {
 	l.mu.Lock()
@@ -240,12 +264,22 @@
 	if l.state != live || l.finWant || len(b) == 0 {
 		return
 	}
-	l.handed.Add(int64(len(b)))
 	if l.tail != nil {
+		l.handed.Add(int64(len(b)))
 		l.tail.push(b)
 		return
 	}
-	if _, err := l.c.Write(b); err != nil {
+	var err error
+	if l.backlog() == 0 {
+		if b, err = l.send(b); err == nil && len(b) == 0 {
+			return
+		}
+	}
+	if err == nil {
+		l.handed.Add(int64(len(b)))
+		_, err = l.c.Write(b)
+	}
+	if err != nil {
 		l.state = ended
 		l.s.queue.post(event{kind: evBroken, link: l})
 		return
@@ -258,6 +292,22 @@
 	}
 }
 
+// send writes what the socket takes at once, and returns the rest. Where a write fails nbio closes the
+// descriptor on the caller's goroutine; here the poller does, which is told of the break as well.
+func (l *link) send(b []byte) (rest []byte, err error) {
+	err = syscall.EPIPE
+	control(l.c, func(fd int) {
+		var n int
+		if n, err = syscall.Write(fd, b); n > 0 {
+			b = b[n:]
+		}
+		if errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR) {
+			err = nil
+		}
+	})
+	return b, err
+}
+
 // backlog is how much was handed over and has not left yet.
 func (l *link) backlog() int64 { return l.handed.Load() - l.written.Load() }
 
@@ -335,13 +385,17 @@
 		l.state = ended
 		l.tail.close(true)
 	default:
-		l.state = finishing
-		l.endBy = time.Now().Add(time.Second)
-		l.s.finishing[l] = struct{}{}
-		control(l.c, func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+		l.state, l.cut = finishing, true
+		l.shut()
 	}
 }
 
+// shut lets neither side say more. That is an event for the poller, which closes the descriptor; nobody
+// else may touch it from here on, since its number can be a newcomer's at any time.
+func (l *link) shut() {
+	control(l.c, func(fd int) { _ = syscall.Shutdown(fd, syscall.SHUT_RDWR) })
+}
+
 // reset ends the link with RST. Connecting to no address does that without closing the descriptor,
 // which the poller does on the hang-up that follows.
 func (l *link) reset() {
@@ -363,33 +417,43 @@
 	l.state = ended
 }
 
-// force closes a finishing link whose other side doesn't end.
+// force ends a finishing link whose other side doesn't end. What it has sent is not read any more, so that
+// the closing resets it: it may wait for room that nobody will make.
 func (l *link) force() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.state != finishing {
+	if l.state != finishing || l.cut {
 		return
 	}
 	l.state = ended
 	if l.tail != nil {
 		l.tail.reset()
 	} else {
-		_ = l.c.Close()
+		l.shut()
 	}
 }
 
+// control does something to the socket, unless nbio has closed it, which nothing but a write tells: the
+// descriptor's number may be another connection's by now.
 func control(c *nbio.Conn, do func(fd int)) {
+	if _, err := c.Write(nil); err != nil {
+		return
+	}
 	if raw, err := c.SyscallConn(); err == nil {
 		_ = raw.Control(func(fd uintptr) { do(int(fd)) })
 	}
 }
 
 // hasFin tells whether the other side has ended, though bytes from before may still wait to be read.
-func hasFin(c *nbio.Conn) (fin bool) {
+func hasFin(c *nbio.Conn) bool {
+	fin := true
 	control(c, func(fd int) {
 		state, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		const established, synRecv = 1, 3
-		fin = err != nil || state&0xff != established && state&0xff != synRecv
+		const established, synRecv, finWait1, finWait2 = 1, 3, 4, 5 // the last two: only this side has
+		switch state & 0xff {
+		case established, synRecv, finWait1, finWait2:
+			fin = err != nil
+		}
 	})
 	return fin
 }
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -31,6 +31,7 @@
 //	by MS            the next step takes no longer
 //	flood NAME N     NAME sends N lines of 1,000 bytes, as they are taken
 //	drain NAME N     N such lines come to NAME
+//	gone NAME        NAME can send nothing more
 //	narrow NAME N    NAME takes no more than about N bytes before it reads
 //	wait MS, leave, ended, down REGION, fill N; sockets N and memory N set limits
 //	reload ADDR      the configuration is read again, with discovery at ADDR
@@ -221,6 +222,8 @@
 			}
 		}
 		return p.step(fmt.Sprintf("filler%d < PONG", number-1))
+	case "gone":
+		words = []string{words[1], word}
 	case "nothing", "long", "chunk", "flood", "drain", "narrow":
 		words = []string{words[1], word, words[2]}
 	}
@@ -252,6 +255,15 @@
 		for i := 0; i < number && err == nil; i++ {
 			err = p.expect(who, fmt.Sprintf("%0998d", i))
 		}
+	case "gone":
+		_ = who.conn.SetWriteDeadline(time.Now().Add(time.Second))
+		for i := 0; i < 99 && err == nil; i++ {
+			_, err = who.conn.Write(make([]byte, 1<<20))
+		}
+		if !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, syscall.EPIPE) {
+			return fmt.Errorf("it sends on: %v", err)
+		}
+		err = nil
 	case "FIN":
 		err = who.conn.(*stdnet.TCPConn).CloseWrite()
 	case "RST":
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -36,6 +36,7 @@
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
 	readWait     = 5 * time.Second        // a link that ends waits so long for the other side to read on
 	gateWait     = 2 * time.Millisecond
+	endSooner    = 800 * time.Millisecond // so much less a link that ends has where descriptors run short
 	moreFiles    = 4096                   // nbio's table of connections is as much longer than the limit at the start
 	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
 )
@@ -344,6 +345,7 @@
 	t := &terminal{handle: s.next, l: l}
 	l.term = t
 	s.terminals[t.handle] = t
+	s.step(core.Arrived{From: t.handle})
 }
 
 func (s *Server) fromTerminal(t *terminal, e event) {
@@ -370,6 +372,7 @@
 		case how == core.Closed && len(t.begun) > 0:
 			s.invalid(t) // half a line, and no more will come
 		default:
+			s.step(core.TerminalEnded{From: t.handle, How: how})
 			s.closeTerminal(t, core.Closed)
 		}
 		if how == core.Broken {
@@ -415,6 +418,7 @@
 		if s.short || s.sockets.Load() > s.limit.Load()-reserve {
 			s.counters.NoRoom++
 			t.over = true
+			s.step(core.TerminalEnded{From: t.handle})
 			s.finalAnswer(t, platform.AppendShort(nil, 0))
 			return
 		}
@@ -430,9 +434,14 @@
 	s.step(core.Invalid{From: t.handle})
 }
 
+// finalAnswer is all that a terminal gets. One that has said nothing has nothing left to be read: it is
+// closed at once, others when they have ended.
 func (s *Server) finalAnswer(t *terminal, line []byte) {
 	t.l.write(line)
 	s.closeTerminal(t, core.Closed)
+	if !t.asked {
+		t.l.force()
+	}
 }
 
 func (s *Server) closeTerminal(t *terminal, how core.Ending) {
@@ -486,6 +495,7 @@
 			switch platform.WordOf(line) {
 			case platform.Up:
 				t.up = true
+				t.l.knows()
 				seen := t.fromRegion.Read(data[len(line):])
 				t.last = seen.Last
 				s.step(core.Up{Of: t.handle, Attempt: l.attempt,
@@ -862,6 +872,11 @@
 		s.checkAt = now.Add(checkEvery)
 		s.short = s.cfg.MemoryMB > 0 && heap() > uint64(s.cfg.MemoryMB)<<20*8/10
 	}
+	limit, grace := int(s.limit.Load()), time.Duration(0)
+	if over := int(s.sockets.Load()) - (limit - reserve - limit/8); over > 0 {
+		s.step(core.Crowded{By: over})
+		grace = endSooner
+	}
 	for l := range s.finishing {
 		l.mu.Lock()
 		over := l.state == ended
@@ -869,7 +884,7 @@
 		if w := l.written.Load(); w != l.seen { // somebody still reads what is buffered
 			l.seen, l.endBy = w, now.Add(readWait)
 		}
-		if !over && now.After(l.endBy) {
+		if !over && now.After(l.endBy.Add(-grace)) {
 			l.force()
 			over = true
 		}
--- a/internal/platform/lines.go
+++ b/internal/platform/lines.go
@@ -14,6 +14,9 @@
 	"oatloft/policy"
 )
 
+// maxWait is the longest that a terminal may say it waits.
+const maxWait = 10 * time.Minute
+
 // MaxLine is how long a line may be, its end included.
 const MaxLine = 4096
 
@@ -54,9 +57,14 @@
 // ParseOpen reads a first line.
 func ParseOpen(line []byte) (Open, error) {
 	o := Open{template: line}
-	if !bytes.HasSuffix(line, []byte("\r\n")) || bytes.IndexByte(trim(line), '\r') >= 0 {
+	if !bytes.HasSuffix(line, []byte("\r\n")) {
 		return o, ErrMalformed
 	}
+	for _, c := range line[:len(line)-2] {
+		if c < ' ' || c > '~' {
+			return o, ErrMalformed
+		}
+	}
 	parts := bytes.SplitN(trim(line), []byte(" "), 4)
 	if len(parts) != 4 || string(parts[0]) != "OPEN" || len(parts[1]) == 0 || len(parts[2]) == 0 ||
 		bytes.IndexByte(parts[3], ' ') >= 0 {
@@ -87,8 +95,11 @@
 		case "mid":
 			o.MidFlow = string(value) == "1"
 		case "d":
+			if len(bytes.Trim(value, "0123456789.")) > 0 || o.left[1] > 0 { // no sign, no exponent, no word
+				return o, ErrMalformed
+			}
 			ms, err := strconv.ParseFloat(string(value), 64)
-			if err != nil || !(ms >= 0 && ms <= 1e9) || o.left[1] > 0 {
+			if err != nil || ms > float64(maxWait.Milliseconds()) {
 				return o, ErrMalformed
 			}
 			o.Patience = time.Duration(ms * float64(time.Millisecond))
