Count a connection's silence from its last returned line, not from the first unanswered one

Terminals send every 2 s, so one that falls silent right behind a reply was left for up to 2 + 5.5 + 0.25 s, and 1 s more where its region had stopped inside a line; the rule's 7 s count from the silence.

Changed: 5.5 s count from the last line that came back, if one has waited 3 s for its reply.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -25,7 +25,8 @@
 
 // Times that the platform's rules set; the figures leave room for the way to the other side.
 const (
-	silentAfter = 5500 * time.Millisecond // an open task with a line unanswered so long is moved (rule: 7 s)
+	silentAfter = 5500 * time.Millisecond // an open task that has returned no line for so long is moved (rule: 7 s) ...
+	unanswered  = 3 * time.Second         // ... if one has waited for its reply for this long; terminals send every 2 s
 	sweepEvery  = 250 * time.Millisecond
 	delayEvery  = time.Second             // a region's message delay is told so often while it is long
 	firstLineIn = 2 * time.Second         // a terminal has said what it wants by then, or is answered that it failed
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -34,6 +34,7 @@
 	deadline time.Duration
 	until    time.Duration // the routed task is given up then
 	askedAt  time.Duration // open: when the oldest line without a reply passed; 0 if none
+	heardAt  time.Duration // open: when the region returned its last line
 	ended    time.Duration // when the terminal closed its sending, or heard something since; 0 if it has not
 }
 
@@ -377,7 +378,7 @@
 	r.Counters.Up++
 	r.Counters.TasksUp++
 	r.owed--
-	t.state = open
+	t.state, t.heardAt = open, r.now
 	r.do(Pass{Of: t.from, Data: ev.Data})
 	if t.at != "" {
 		r.Counters.Adopted++
@@ -409,9 +410,12 @@
 		if t.ended > 0 {
 			t.ended = r.now // half a connection, but a lively one
 		}
-		if ev.Lines > 0 && t.askedAt > 0 {
-			r.delay(t, r.now-t.askedAt)
-			t.askedAt = 0
+		if ev.Lines > 0 {
+			t.heardAt = r.now
+			if t.askedAt > 0 {
+				r.delay(t, r.now-t.askedAt)
+				t.askedAt = 0
+			}
 		}
 		r.notes(t, ev.Bytes)
 	case ev.Lines > 0 && t.askedAt == 0:
@@ -726,7 +730,7 @@
 		if t.state != open || t.askedAt == 0 {
 			continue
 		}
-		if waits := r.now - t.askedAt; waits > silentAfter {
+		if waits := r.now - t.askedAt; waits > unanswered && r.now-t.heardAt > silentAfter {
 			r.Counters.Silent++
 			r.sendAway(t)
 		} else if waits > r.delayAim {
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -211,7 +211,8 @@
 }
 
 // A machine that vanished keeps its connections open and says nothing: they are moved before the rule's
-// 7 s, counted from the first line without a reply. One that answers stays, and so does an idle one.
+// 7 s, which count from when it fell silent. That can be right behind its last reply, two seconds before the
+// next line goes unanswered. One that answers stays, and so does an idle one.
 func TestSilentRegionIsLeft(t *testing.T) {
 	b := newBed(t, nil)
 	for h := Handle(1); h <= 3; h++ {
@@ -227,7 +228,21 @@
 	if e := find[MoveTerminal](b, b.pass(5*time.Second)); e.Of != 1 {
 		t.Fatal(e)
 	}
-	if b.r.Open() != 2 || b.r.Counters.Silent != 1 {
+	b.do(Passed{Of: 2, Bytes: line})
+	b.do(Passed{Of: 2, FromRegion: true, Bytes: line})
+	b.none(all2(b.pass(2 * time.Second)))
+	b.do(Passed{Of: 2, Bytes: line})
+	if e := find[MoveTerminal](b, b.pass(4*time.Second)); e.Of != 2 {
+		t.Fatal(e)
+	}
+	b.up(4)
+	b.pass(30 * time.Second)
+	b.do(Passed{Of: 4, Bytes: line}) // one that was idle has its time
+	if moved := all[MoveTerminal](b.pass(2900 * time.Millisecond)); len(moved) > 0 {
+		t.Fatal(moved)
+	}
+	b.do(Passed{Of: 4, FromRegion: true, Bytes: line})
+	if b.r.Open() != 2 || b.r.Counters.Silent != 2 {
 		t.Fatalf("%+v", b.r.Counters)
 	}
 }
