Serve standing connections for 3.5 s after SIGTERM where packets pass through

Checked by a trace: a leaving balancer went 0.8 s after SIGTERM, and all its clients (312 and 630) came again at the other within 0.25 s as newcomers (mid=1 on none).

At fault: leaveAfter, after which the reducer asked for Exit as soon as nothing was owed (reducer.go, due). Now it stays while connections stand, up to the longest give-up time (3 s at most) and 0.5 s; the end by force comes 0.7 s behind that.

Test: TestLeavingServesWhatStands fails on the code before, which leaves after 0.8 s.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -20,7 +20,8 @@
 	Seed           int64
 	ConnectTimeout time.Duration // a routed task whose connection is not up by then never ran
 	ProbeTimeout   time.Duration
-	PassThrough    bool // open connections go on elsewhere when this balancer leaves
+	LongestWait    time.Duration // that a class of terminals has for its answer
+	PassThrough    bool          // open connections go on elsewhere when this balancer leaves
 }
 
 // Times that the platform's rules set; the figures leave room for the way to the other side.
@@ -33,6 +34,8 @@
 	youngest    = 10 * time.Millisecond   // nobody is sent off sooner: the line may be on its way
 	endEarly    = 15 * time.Millisecond   // the final answer leaves so long before the terminal quits
 	leaveAfter  = 800 * time.Millisecond  // after SIGTERM new terminals still come for half of this
+	leaveMost   = 3 * time.Second         // the end comes by force this long after SIGTERM, or after the longest ...
+	leaveMargin = 500 * time.Millisecond  // ... wait if that is less, and 700 ms: standing connections go on until then
 	watchSilent = 4 * time.Second         // a sound watch brings something every 2 s; news count as told after 6 s
 	watchOpen   = 1500 * time.Millisecond // a call to discovery is answered or given up in this time
 )
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -87,6 +87,7 @@
 	owed       int // transactions without their final answer
 	leaving    bool
 	leaveAt    time.Duration
+	leaveBy    time.Duration // connections that still stand are given up then
 }
 
 // New returns a reducer, or an error that names the setting that cannot work.
@@ -184,6 +185,7 @@
 	case Leave:
 		if !r.leaving {
 			r.leaving, r.leaveAt = true, r.now+leaveAfter
+			r.leaveBy = r.now + max(leaveAfter, min(leaveMost, r.cfg.LongestWait)+leaveMargin)
 			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
 			r.sendAllAway()
 		}
@@ -669,8 +671,8 @@
 		if r.watching && t.attempt == r.watchCalls && !r.watchUp {
 			r.watchEnded()
 		}
-	case leaveTimer:
-		if r.owed == 0 {
+	case leaveTimer: // while connections stand, others may not be ready to take them, and they are served here
+		if r.owed == 0 && (len(r.open) == 0 || r.now >= r.leaveBy) {
 			r.do(Exit{})
 			return
 		}
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -339,6 +339,30 @@
 	}
 }
 
+// Where packets pass through, standing connections go on through a balancer that leaves for as long as it may
+// stay: it once left after 0.8 s, while the next one had not taken over. It waits for nothing else.
+func TestLeavingServesWhatStands(t *testing.T) {
+	b := newBed(t, func(c *Config) { c.LongestWait = 2 * time.Second })
+	b.up(1)
+	b.do(Leave{})
+	if early := b.pass(2400 * time.Millisecond); len(all[Exit](early))+len(all[MoveTerminal](early)) > 0 {
+		t.Fatalf("%+v", early)
+	}
+	line := Bytes{Data: []byte("x\r\n"), Lines: 1}
+	find[Pass](b, b.do(Passed{Of: 1, Bytes: line}))
+	find[Exit](b, b.pass(150*time.Millisecond))
+	b = newBed(t, func(c *Config) { c.LongestWait = time.Minute })
+	b.up(1)
+	b.do(Leave{})
+	b.pass(time.Second)
+	b.do(TaskEnded{1, 0, Finished})
+	find[Exit](b, b.pass(2*TickEvery))
+	b = newBed(t, func(c *Config) { c.LongestWait = time.Minute })
+	b.up(1)
+	b.do(Leave{})
+	find[Exit](b, b.pass(3550*time.Millisecond)) // killed 3.7 s after SIGTERM at the earliest
+}
+
 // The wheel fires what is due, once, also after a sleep longer than a round and across rounds.
 func TestWheel(t *testing.T) {
 	var w wheel
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -98,6 +98,9 @@
 	c.Core = core.Config{Policy: settings.Config(f), Seed: int64(seed),
 		ConnectTimeout: f.Millis("limits.connect-timeout-ms"), PassThrough: f.Text("family-info.mode") == "pass",
 		ProbeTimeout: 300 * time.Millisecond}
+	for i := range c.Core.Policy.Classes {
+		c.Core.LongestWait = max(c.Core.LongestWait, f.Millis(fmt.Sprintf("classes.%d.give-up-ms", i)))
+	}
 	if f.Err != nil {
 		return c, fmt.Errorf("settings: %w", f.Err)
 	}
