Don't heap connections in mid-flow onto the own zone's regions, nor onto a full one

Checked by a trace: 420 connections came to the other balancer with mid=1 within 0.5 s. All of them went to the two regions of its own zone (draw weighs them 600 to 1), whatever their load (choose let mid-flow pass by admit); 370 of 403 had stood elsewhere, so both regions read 1.2 and 1.3 half a second later, and 277 were moved away again. 29 of 62 that came back to the balancer that had placed them met their region.

Changed: the first draw of a connection in mid-flow ignores zones, for it was made by another balancer, and below X = 1 it goes to its first draw; a fuller region is a newcomer's choice like any other.

--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -433,3 +433,39 @@
 		t.Errorf("%v still counts beside what is reported", s.placed)
 	}
 }
+
+// Day reload: all connections in mid-flow of a balancer elsewhere, 420, went to the two regions of the zone of
+// the one that got them, which were at 1.3 of what they can do then. They stood in other zones.
+func TestMidFlowIsNotHeapedUp(t *testing.T) {
+	list := servers(6)
+	for i := 2; i < 6; i++ {
+		list[i].Zone = "b"
+	}
+	c := testConfig()
+	c.CrossZonePrice = 0.16
+	r := newRig(t, c, list...)
+	for _, s := range list {
+		r.loads[s.ID] = 0.5
+	}
+	sent := map[string]int{}
+	for i := range 60 {
+		r.feed(Request{ID: fmt.Sprint(i), Key: fmt.Sprint("k", i), Class: "safe", Patience: time.Second, MidFlow: true})
+		if s, ok := last[Send](r); ok && s.ID == fmt.Sprint(i) {
+			sent[s.Server]++
+			r.feed(Established{ID: s.ID, Server: s.Server})
+		}
+		r.run(500 * ms)
+	}
+	if n := sent["s00"] + sent["s01"]; n == 0 || n > 40 {
+		t.Errorf("%d of 60 went to the own zone: %v", n, sent)
+	}
+	for _, s := range list {
+		r.loads[s.ID] = 1.2
+	}
+	r.run(10 * time.Second) // readings that never change are trusted for long
+	r.log = nil
+	r.feed(Request{ID: "x", Key: "kx", Class: "safe", Patience: time.Second, MidFlow: true})
+	if s, ok := last[Send](r); ok {
+		t.Errorf("%v, which is full", s)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -194,7 +194,8 @@
 
 // draw picks two servers at random, with less weight for those that cross zones or are cold. The first
 // draw of a request hangs on its group or key alone: groups stay together, and a balancer that gets a
-// connection in mid-flow finds its server. Later draws are fresh, and spill over zones.
+// connection in mid-flow may find its server, which another one chose, in whichever zone that stood. Later
+// draws are fresh, and spill over zones.
 func (b *Balancer) draw(r *request) (drawn []*server) {
 	salt := hashOf(cmp.Or(r.Group, r.Key))
 	if r.draws++; r.draws > 1 || r.Group+r.Key == "" {
@@ -207,7 +208,7 @@
 			continue
 		}
 		weight := b.ramp(s)
-		if s.Zone != b.cfg.Zone && r.draws == 1 {
+		if s.Zone != b.cfg.Zone && r.draws == 1 && !r.MidFlow {
 			weight *= math.Exp(-40 * b.cfg.CrossZonePrice)
 		}
 		v := -math.Log(mix(s.hash+salt)) / weight
@@ -305,18 +306,19 @@
 // before its wait is in vain.
 func (b *Balancer) choose(r *request) {
 	var best *server
+	stays := r.MidFlow && len(r.choice) > 0 && b.load(r.choice[0]) < 1 // no guess fills one up
 	for _, s := range r.choice {
 		if !b.usable(s, r) || s.probing && s.fails > 0 && len(r.choice) > 1 {
 			continue
 		}
-		if best == nil || !r.MidFlow && b.load(s)+tieMargin < b.load(best) {
+		if best == nil || !stays && b.load(s)+tieMargin < b.load(best) {
 			best = s
 		}
 	}
 	switch {
 	case b.overdue(r):
 		b.finish(r)
-	case best != nil && (r.MidFlow || b.admit(best, r)):
+	case best != nil && (stays || b.admit(best, r)):
 		b.send(r, best)
 	case b.late(r):
 		b.finish(r)
