Hold newcomers to their aim, take them to X = 0.8, and let escapes leave 0.8

A request is answered at its aim at the latest, 2 to 4 times before its terminal gives up, and at once where the module can't go on.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,7 +15,7 @@
 const (
 	defaultBeta    = 0.75                    // decay of exploration, mid-way in the paper's range
 	defaultExplore = 0.05                    // the design's cap on it, a slot
-	fullX, escapeX = 0.75, 0.6               // no newcomers above the first; escapes leave the second
+	fullX, escapeX = 0.8, 0.8                // no newcomers above the first; escapes leave the second
 	overShareX     = 0.6                     // newcomers beyond a share stay off above this one
 	slotMin        = 8 * time.Second         // a move breaks a connection for about a second
 	settleMin      = 2 * time.Second         // moved connections stand elsewhere by then
@@ -25,7 +25,7 @@
 	drainIn        = 2 * time.Second         // a backlog should be gone after this
 	lagFor         = 1500 * time.Millisecond // late messages are told of once a second while they are late
 	tickEvery      = 20 * time.Millisecond   // held requests and slots are looked at so often
-	redrawEvery    = 200 * time.Millisecond  // a held request draws again after this
+	redrawEvery    = 100 * time.Millisecond  // a held request draws again after this
 	checkEvery     = 10 * time.Second        // servers with own connections are heard from so often
 	planFor        = 5 * time.Second         // a moved client is expected back within this
 	maxWindow      = 64.0                    // set-ups under way at most
@@ -333,7 +333,7 @@
 func (b *Balancer) overdue(r *request) bool { return b.now >= r.deadline-3*b.tick }
 
 // late tells that a held request should be refused, so that no worth is lost after its aim.
-func (b *Balancer) late(r *request) bool { return b.now >= r.since+r.class.Aim*3/4 || b.overdue(r) }
+func (b *Balancer) late(r *request) bool { return b.now >= r.since+r.class.Aim || b.overdue(r) }
 
 // lagging tells that messages at s lately took longer than aim: a backlog has to drain first.
 func (b *Balancer) lagging(s *server, aim time.Duration) bool {
