Don't take one stopped connection for a delay of its region

Regions were told late by 70, 325, 417, 672 ms in turn with 0 ms: one stream had stopped, all its neighbours were answered at once.

Now a waiting line speaks for its region only if none that passed there later has come back.

--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -43,6 +43,7 @@
 	Region
 	toldLong bool
 	toldAt   time.Duration
+	answered time.Duration // when the latest line passed that has come back
 }
 
 type arrival struct {
@@ -415,6 +416,9 @@
 		if ev.Lines > 0 {
 			t.heardAt = r.now
 			if t.askedAt > 0 {
+				if g := r.regions[t.region]; g != nil {
+					g.answered = max(g.answered, t.askedAt)
+				}
 				r.delay(t, r.now-t.askedAt)
 				t.askedAt = 0
 			}
@@ -735,8 +739,8 @@
 		if waits := r.now - t.askedAt; waits > unanswered && r.now-t.heardAt > silentAfter {
 			r.Counters.Silent++
 			r.sendAway(t)
-		} else if waits > r.delayAim {
-			r.delay(t, waits)
+		} else if g := r.regions[t.region]; waits > r.delayAim && g != nil && g.answered <= t.askedAt {
+			r.delay(t, waits) // nobody who asked the region later was answered: it is not this connection alone
 		}
 	}
 	if r.watching && r.watchUp && r.now-r.watchHeard > watchSilent {
--- a/internal/core/reducer_test.go
+++ b/internal/core/reducer_test.go
@@ -264,6 +264,32 @@
 	}
 }
 
+// Day silent: one connection that had stopped made its region look late by up to 5 s, though its neighbours
+// were answered at once, and the module sent up to three quarters of them away.
+func TestOneStoppedConnectionIsNotItsRegion(t *testing.T) {
+	b := newBed(t, nil)
+	first := b.up(1)
+	h := Handle(2)
+	for b.up(h) != first {
+		h++
+	}
+	line := Bytes{Lines: 1}
+	b.do(Passed{Of: 1, Bytes: line})
+	for range 20 {
+		b.pass(100 * time.Millisecond)
+		b.do(Passed{Of: h, Bytes: line})
+		b.do(Passed{Of: h, FromRegion: true, Bytes: line})
+	}
+	if n := b.r.Counters.Delays; n > 1 {
+		t.Fatal(n, "delays told of a region that answers")
+	}
+	b.do(Passed{Of: h, Bytes: line}) // now it answers nobody
+	b.pass(500 * time.Millisecond)
+	if n := b.r.Counters.Delays; n < 1 {
+		t.Fatal(n, "delays told of a region that doesn't answer")
+	}
+}
+
 // A watch on which even the empty lines have stopped is broken; the next call asks from the last version.
 func TestSilentWatch(t *testing.T) {
 	b := newBed(t, nil)
