Count the crossing of zones when two regions are compared for a newcomer

Such a draw holds the own region and a far one, and choose() took the less loaded of the two, at 0.4 against 0.2, where the load costs nobody anything.

Changed: choose() adds twice the price of a crossing, as load, to a region elsewhere (far).

--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -493,3 +493,24 @@
 		t.Errorf("%v in place of a refusal at the aim", r.log)
 	}
 }
+
+// Day wide: in a zone with one region every newcomer was offered that one and a far one, and half took the far
+// one for being a little less loaded, at the price of crossing zones for as long as they lived.
+func TestLightLoadIsNoReasonToCross(t *testing.T) {
+	list := servers(3)
+	list[1].Zone, list[2].Zone = "b", "c"
+	c := testConfig()
+	c.CrossZonePrice = 0.16
+	for _, x := range []struct {
+		own  float64
+		home bool
+	}{{0.5, true}, {0.78, false}} {
+		r := newRig(t, c, list...)
+		r.loads["s00"], r.loads["s01"], r.loads["s02"] = x.own, 0.1, 0.1
+		r.rif["s00"] = 500 // one more makes no difference
+		r.request("x", "safe")
+		if s, ok := last[Send](r); !ok || x.home != (s.Server == "s00") {
+			t.Errorf("own at %v: %v", x.own, s)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -15,6 +15,7 @@
 const (
 	defaultBeta    = 0.75                    // decay of exploration, mid-way in the paper's range
 	defaultExplore = 0.05                    // the design's cap on it, a slot
+	farFactor      = 2.0                     // what crossing zones costs, as load, over its price
 	fullX, escapeX = 0.8, 0.8                // no newcomers above the first; escapes leave the second
 	overShareX     = 0.6                     // newcomers beyond a share stay off above this one
 	slotMin        = 8 * time.Second         // a move breaks a connection for about a second
@@ -302,6 +303,14 @@
 	return s.x + s.placed
 }
 
+// far is what standing in another zone costs, as load that is as bad.
+func (b *Balancer) far(s *server) float64 {
+	if s.Zone == b.cfg.Zone {
+		return 0
+	}
+	return farFactor * b.cfg.CrossZonePrice
+}
+
 // choose places r on the better of its two servers, holds it while both are full, and refuses it
 // before its wait is in vain.
 func (b *Balancer) choose(r *request) {
@@ -311,7 +320,7 @@
 		if !b.usable(s, r) || s.probing && s.fails > 0 && len(r.choice) > 1 {
 			continue
 		}
-		if best == nil || !stays && b.load(s)+tieMargin < b.load(best) {
+		if best == nil || !stays && b.load(s)+b.far(s)+tieMargin < b.load(best)+b.far(best) {
 			best = s
 		}
 	}
