Cut the window of set-ups only where many requests fail, not where one fails everywhere

Checked by a small probe, now the test: with one such request in five, settled() took errors at two regions for a bottleneck that all set-ups share, cut the window from 16 to 0.25 after the fifth request, and paused everybody's set-ups. A region's error on garbage says nothing of the others.

Changed: a request's first failed set-up counts, and the cut needs a running share of more than a quarter.

Test: TestUnusableRequestsDontSlowOthersDown.

--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -518,3 +518,29 @@
 		}
 	}
 }
+
+// Day rude: lines that no region can use are answered with an error by each. Eight of them among sound ones
+// cut the window of set-ups to one and made everybody wait.
+func TestUnusableRequestsDontSlowOthersDown(t *testing.T) {
+	r := newRig(t, testConfig(), servers(5)...)
+	for i := range 40 {
+		id := fmt.Sprint(i)
+		r.request(id, "safe")
+		for try := 0; r.b.requests[id] != nil && !r.b.requests[id].open && try < 9; try++ {
+			s, ok := last[Send](r)
+			if !ok || s.ID != id {
+				r.run(20 * ms)
+				continue
+			}
+			r.log = nil
+			if attempt := r.b.requests[id].attempts - 1; i%5 == 4 {
+				r.feed(Outcome{ID: id, Attempt: attempt, Server: s.Server, Result: Failed})
+			} else {
+				r.feed(Established{ID: id, Attempt: attempt, Server: s.Server})
+			}
+		}
+		if r.b.window < 8 || r.b.pauseTill > r.now {
+			t.Fatalf("after %d requests the window is %v", i+1, r.b.window)
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -29,6 +29,7 @@
 	redrawEvery    = 100 * time.Millisecond  // a held request draws again after this
 	checkEvery     = 10 * time.Second        // servers with own connections are heard from so often
 	planFor        = 5 * time.Second         // a moved client is expected back within this
+	manyFail       = 0.25                    // share of requests that fail by more than their content
 	maxWindow      = 64.0                    // set-ups under way at most
 	minAge, maxAge = 50 * time.Millisecond, 2 * time.Second
 )
@@ -390,9 +391,13 @@
 	b.setup += 0.1 * (float64(took.Milliseconds()) - b.setup)
 	if ok {
 		b.window = min(maxWindow, b.window+min(b.window, 1/b.window))
+		b.failing -= 0.1 * b.failing
 		return
 	}
-	if b.lastBad != nil && r.on != b.lastBad && b.now >= b.cutAt {
+	if r.failures++; r.failures == 1 { // one that fails everywhere may be itself to blame
+		b.failing += 0.1 * (1 - b.failing)
+	}
+	if b.lastBad != nil && r.on != b.lastBad && b.now >= b.cutAt && b.failing > manyFail {
 		b.window = max(1.0/16, min(b.window, float64(b.outs+1))/2)
 		b.cutAt = b.now + time.Duration(max(100, b.setup))*time.Millisecond
 		b.pauseTill = b.now + b.jitter(time.Duration(float64(100*time.Millisecond)/b.window))
--- a/policy/state.go
+++ b/policy/state.go
@@ -52,6 +52,7 @@
 	attempts, draws   int
 	sentAt, ranAt     time.Duration // last send; send of the first attempt that may have run, or -1
 	ranOn, on         *server
+	failures          int           // set-ups that failed
 	choice            []*server     // held: drawn, and waiting for readings
 	chooseAt          time.Duration // held: choose or draw again at this time
 	drawn             *server       // open: explore target of this slot
@@ -80,6 +81,7 @@
 	window                 float64       // ... and how many there may be
 	cutAt, pauseTill       time.Duration // no second cut before this; no set-up before this
 	lastBad                *server       // where a set-up failed last
+	failing                float64       // running share of requests whose first set-up failed
 	demand                 float64       // running rate of choices, a second ...
 	demandAt               time.Duration // ... at this time
 }
