Add the admission gate: caps, reserve, ledger, levels and come-back advice

One address that keeps what it gets locked out 200 of 200 good terminals: the only limit was a count of sockets. internal/admission decides without I/O who is let in: caps per address and network (GCRA, debts of the evicted kept in a sketch), a reserve for clients that have stood, a ledger by use with what a transaction needs set aside first, levels with hysteresis, an order of sacrifice, spread come-back times. Nothing uses it yet.

--- /dev/null
+++ b/internal/admission/gate_test.go
@@ -0,0 +1,353 @@
+package admission
+
+import (
+	"fmt"
+	"net/netip"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+)
+
+// small is a gate for tests: 100 descriptors' budget, 20 of them for the silent, 80 for 40 transactions.
+func small() Config {
+	return Config{
+		Address: Address{MaxConnections: 16, MaxSilent: 8, NewPerSecond: 10, Burst: 20, MaxBytes: 16 << 10,
+			ShortPatience: 500 * time.Millisecond, Prefix6: 64, Table: 128},
+		Network: Network{Prefix4: 24, Prefix6: 48, NewPerSecond: 100, Burst: 200, MaxShare: 0.5, Table: 64},
+		Reserve: Reserve{KnownShare: 0.25, StandFor: 10 * time.Second, RememberFor: 30 * time.Minute, Max: 64,
+			MaxPerNetwork: 16, MaxPerClient: 2, MuteFor: time.Minute},
+		Descriptors: Descriptors{SilentShare: 0.2, Tight: 0.75, Short: 0.9, Full: 0.98, Hysteresis: 0.15},
+		Memory:      Memory{MaxShare: 0.8, Transaction: 1 << 20, Silent: 1 << 10},
+		ComeBack:    ComeBack{Advise: true, PerSecond: 10, Least: 200 * time.Millisecond, Most: 2 * time.Second},
+		Tenants:     []Tenant{{"acme", 3}, {"bolt", 1}},
+	}
+}
+
+const smallLimit = 100 + slack
+
+// TestTranscripts plays testdata/*.txt: commands to a gate, and what it says. Terminals have names; a time in
+// ms stands before a command where time passes.
+func TestTranscripts(t *testing.T) {
+	datadriven.Walk(t, "testdata/transcripts", func(t *testing.T, path string) {
+		var g *Gate
+		var now time.Duration
+		names, tickets := map[Ticket]string{}, map[string]Ticket{}
+		say := func(b *strings.Builder, v Verdict) {
+			if v.OK() {
+				b.WriteString(" ok\n")
+			} else {
+				fmt.Fprintf(b, " %v\n", v.Reason)
+			}
+		}
+		datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
+			var b strings.Builder
+			if d.Cmd == "gate" {
+				cfg := small()
+				for _, a := range d.CmdArgs {
+					switch a.Key {
+					case "exempt":
+						cfg.Exempt = append(cfg.Exempt, netip.MustParsePrefix(a.Vals[0]))
+					case "identity":
+						cfg.Reserve.Identity = map[string]Identity{"flow": ByFlow, "tenant": ByTenantAndFlow, "address": ByAddress}[a.Vals[0]]
+					}
+				}
+				var err error
+				if g, err = New(cfg, 1); err != nil {
+					return err.Error()
+				}
+				g.Limit(smallLimit, 0)
+				now = time.Second
+				names, tickets = map[Ticket]string{}, map[string]Ticket{}
+				return ""
+			}
+			for _, line := range strings.Split(d.Input, "\n") {
+				f := strings.Fields(line)
+				arg := func(i int) string {
+					if i < len(f) {
+						return f[i]
+					}
+					return ""
+				}
+				num := func(i int) int { n, _ := strconv.Atoi(arg(i)); return n }
+				switch f[0] {
+				case "wait":
+					for range num(1) / 50 {
+						now += 50 * time.Millisecond
+						g.Tick(now)
+					}
+				case "back":
+					now -= time.Duration(num(1)) * time.Millisecond
+				case "accept": // NAME ADDR [COUNT]
+					for i := range max(1, num(3)) {
+						name, addr := arg(1), netip.MustParseAddr(strings.ReplaceAll(arg(2), "%", strconv.Itoa(i+1)))
+						if num(3) > 0 {
+							name += strconv.Itoa(i)
+						}
+						tk, v := g.Accept(now, addr)
+						if v.OK() {
+							names[tk], tickets[name] = name, tk
+						}
+						b.WriteString(name)
+						say(&b, v)
+					}
+				case "request", "serve": // NAME KEY TENANT [COUNT]
+					for i := range max(1, num(4)) {
+						name, who := arg(1), Who{strings.ReplaceAll(arg(2), "%", strconv.Itoa(i+1)), arg(3)}
+						if num(4) > 0 {
+							name += strconv.Itoa(i)
+						}
+						v := g.Request(now, tickets[name], who)
+						fmt.Fprintf(&b, "%s %v", name, g.tickets[tickets[name]].rank)
+						say(&b, v)
+						if v.OK() && f[0] == "serve" {
+							g.Stood(now, tickets[name])
+						} else if !v.OK() {
+							g.Closed(now, tickets[name])
+						}
+					}
+				case "stood":
+					g.Stood(now, tickets[arg(1)])
+				case "bytes":
+					b.WriteString(arg(1))
+					say(&b, g.Bytes(now, tickets[arg(1)], num(2)))
+				case "close": // NAME [COUNT]
+					for i := range max(1, num(2)) {
+						name := arg(1)
+						if num(2) > 0 {
+							name += strconv.Itoa(i)
+						}
+						g.Closed(now, tickets[name])
+					}
+				case "victims":
+					for _, v := range g.Victims() {
+						fmt.Fprintf(&b, "send off %s\n", names[v])
+						g.Closed(now, v)
+					}
+				case "limit":
+					g.Limit(num(1), 0)
+				case "memory":
+					g.Limit(smallLimit, int64(num(1)))
+				case "exhausted":
+					g.Exhausted(now)
+				case "state":
+					fmt.Fprintf(&b, "%v, %d of %d held, silent %d, known %d\n", g.Level(), g.ledger.used(), g.ledger.budget, g.Held(Silent), len(g.known.index))
+				default:
+					t.Fatalf("%s: no such command %q", d.Pos, line)
+				}
+			}
+			return merge(b.String())
+		})
+	})
+}
+
+// merge shortens runs of lines that differ in their number only.
+func merge(text string) string {
+	var out []string
+	var last string
+	count := 0
+	flush := func() {
+		if count > 1 {
+			out[len(out)-1] = fmt.Sprintf("%s (and %d more)", out[len(out)-1], count-1)
+		}
+	}
+	for _, line := range strings.Split(strings.TrimRight(text, "\n"), "\n") {
+		like := strings.Map(func(r rune) rune {
+			if r >= '0' && r <= '9' {
+				return -1
+			}
+			return r
+		}, line)
+		if like == last && line != "" {
+			count++
+			continue
+		}
+		flush()
+		out, last, count = append(out, line), like, 1
+	}
+	flush()
+	if text == "" {
+		return ""
+	}
+	return strings.Join(out, "\n") + "\n"
+}
+
+// A damaged setting is named by its field.
+func TestConfigNamesTheField(t *testing.T) {
+	for field, spoil := range map[string]func(*Config){
+		"address.max_connections": func(c *Config) { c.Address.MaxConnections = 0 },
+		"address.new_per_second":  func(c *Config) { c.Address.NewPerSecond = 0 },
+		"network.max_share":       func(c *Config) { c.Network.MaxShare = 2 },
+		"reserve.known_share":     func(c *Config) { c.Reserve.KnownShare = -1 },
+		"descriptors.short":       func(c *Config) { c.Descriptors.Short = 0.1 },
+		"come_back.most":          func(c *Config) { c.ComeBack.Most = 0 },
+	} {
+		c := small()
+		spoil(&c)
+		if _, err := New(c, 1); err == nil || !strings.Contains(err.Error(), "admission."+field) {
+			t.Errorf("%s: %v", field, err)
+		}
+	}
+}
+
+// Once evicted, an address must not be free of its debt: whoever has more addresses than the table has places
+// could else connect as often as he likes.
+func TestEvictionKeepsDebts(t *testing.T) {
+	cfg := small()
+	cfg.Network.Burst, cfg.Network.NewPerSecond = 1<<30, 1e9
+	g, _ := New(cfg, 1)
+	g.Limit(1<<20, 0)
+	const addresses, rounds = 1000, 40 // the table has 128 places
+	let := 0
+	for range rounds {
+		for i := range addresses {
+			if tk, v := g.Accept(time.Second, netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)})); v.OK() {
+				g.Closed(time.Second, tk)
+				let++
+			}
+		}
+	}
+	if most := addresses * cfg.Address.Burst; let > most || let < most/2 {
+		t.Fatalf("%d let in; %d addresses with bursts of %d", let, addresses, cfg.Address.Burst)
+	}
+	// The error that the sketch states: with 384 debtors in it, 1 of 100 innocents is taken for one.
+	g, _ = New(cfg, 2)
+	g.Limit(1<<20, 0)
+	for i := range 384 { // those still in the table get into the sketch as the innocents come
+		for range cfg.Address.Burst {
+			tk, _ := g.Accept(time.Second, netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}))
+			g.Closed(time.Second, tk)
+		}
+	}
+	wrong := 0
+	const innocents = 5000
+	for i := range innocents {
+		tk, v := g.Accept(time.Second, netip.AddrFrom4([4]byte{11, 1, byte(i >> 8), byte(i)}))
+		if g.Closed(time.Second, tk); !v.OK() {
+			wrong++
+		}
+	}
+	if wrong > innocents*2/100 {
+		t.Fatalf("%d of %d innocents refused", wrong, innocents)
+	}
+	t.Logf("%d of %d innocents refused with 384 debtors in the sketch", wrong, innocents)
+}
+
+// Strangers who stand once each can't push out clients that have stood again.
+func TestStrangersDontEvictTheTenured(t *testing.T) {
+	cfg := small()
+	g, _ := New(cfg, 1)
+	g.Limit(1<<20, 0)
+	now := time.Second
+	stand := func(addr netip.Addr, key string) {
+		tk, _ := g.Accept(now, addr)
+		g.Request(now, tk, Who{Key: key})
+		g.Stood(now, tk)
+		now += cfg.Reserve.StandFor
+		g.Closed(now, tk)
+	}
+	regular := func(i int) netip.Addr { return netip.AddrFrom4([4]byte{192, 0, byte(i), 1}) }
+	for range 2 {
+		for i := range 30 {
+			stand(regular(i), fmt.Sprint("regular", i))
+		}
+	}
+	for i := range 150 {
+		stand(netip.AddrFrom4([4]byte{10, byte(i >> 8), byte(i), 1}), fmt.Sprint("crowd", i))
+	}
+	for i := range 30 {
+		tk, _ := g.Accept(now, regular(i))
+		g.Request(now, tk, Who{Key: fmt.Sprint("regular", i)})
+		if got := g.tickets[tk].rank; got != Known {
+			t.Fatalf("regular %d is a %v", i, got)
+		}
+	}
+	if n := len(g.known.index); n > cfg.Reserve.Max {
+		t.Fatal(n, "known")
+	}
+}
+
+// Those refused in one burst must not all be told the same time.
+func TestAdviceSpreads(t *testing.T) {
+	g, _ := New(small(), 1)
+	g.Limit(0, 0)
+	c := g.cfg.ComeBack
+	var in [10]int
+	const n = 1000
+	for range n {
+		_, v := g.Accept(time.Second, netip.MustParseAddr("10.0.0.1"))
+		if v.OK() || v.After < c.Least || v.After > c.Most+time.Duration(float64(time.Second)/c.PerSecond) {
+			t.Fatal(v)
+		}
+		in[min(9, v.After*10/c.Most)]++
+	}
+	for i := 6; i < 10; i++ { // the schedule holds 18; the rest falls anywhere in the later half
+		if in[i] < n/10 || in[i] > n/3 {
+			t.Fatal(in)
+		}
+	}
+}
+
+func TestRestoreKeepsTheBounds(t *testing.T) {
+	g, _ := New(small(), 1)
+	var list []KnownClient
+	for i := range 200 {
+		list = append(list, KnownClient{ID: uint64(i%150 + 1), Net: [2]uint64{0, uint64(i % 5)}, Age: time.Duration(i) * time.Second, Tenured: true})
+	}
+	list = append(list, KnownClient{ID: 999, Net: [2]uint64{9, 9}, Age: time.Hour})
+	n := g.Restore(time.Second, 7, list)
+	if n != 64 || len(g.known.index) != 64 || g.known.counts[1] > 48 {
+		t.Fatal(n, len(g.known.index), g.known.counts)
+	}
+	for net, k := range g.known.byNet {
+		if int(k) > g.cfg.Reserve.MaxPerNetwork {
+			t.Fatal(net, k)
+		}
+	}
+	seed, back := g.KnownClients()
+	h, _ := New(small(), 2)
+	if seed != 7 || h.Restore(time.Second, seed, back) != n {
+		t.Fatal("what was listed can't be restored")
+	}
+	_, again := h.KnownClients()
+	if fmt.Sprint(again) != fmt.Sprint(back) {
+		t.Fatal("restoring changed the list")
+	}
+}
+
+func BenchmarkAdmission(b *testing.B) {
+	cfg := small()
+	cfg.Address.Table, cfg.Network.Table, cfg.Reserve.Max = 8192, 2048, 4096
+	run := func(name string, addr func(i int) netip.Addr, limit int) {
+		b.Run(name, func(b *testing.B) {
+			g, _ := New(cfg, 1)
+			g.Limit(limit, 0)
+			now := time.Second
+			for i := range 20000 { // tables full
+				tk, _ := g.Accept(now, addr(i))
+				g.Closed(now, tk)
+				now += 100 * time.Microsecond
+			}
+			who := Who{"7f3a9c21e0b4d655", "acme"}
+			b.ReportAllocs()
+			for i := 0; b.Loop(); i++ {
+				now += 100 * time.Microsecond
+				tk, v := g.Accept(now, addr(i))
+				if v.OK() {
+					g.Request(now, tk, who)
+					g.Stood(now, tk)
+					g.Closed(now, tk)
+				}
+			}
+		})
+	}
+	run("one-address-refused", func(int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, 66}) }, 1024)
+	run("known-addresses-whole-life", func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(i >> 4), byte(i), 1}) }, 1024)
+	run("new-addresses-whole-life", func(i int) netip.Addr {
+		return netip.AddrFrom4([4]byte{byte(i>>20) | 1, byte(i >> 12), byte(i >> 4), byte(i)})
+	}, 1024)
+	run("no-descriptors", func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(i >> 4), byte(i), 1}) }, 10)
+}
+
