--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -350,4 +350,3 @@
 	}, 1024)
 	run("no-descriptors", func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(i >> 4), byte(i), 1}) }, 10)
 }
-
--- /dev/null
+++ b/internal/net/effects.go
@@ -0,0 +1,134 @@
+// The reducer's effects, carried out in order. This file must never add one of its own.
+
+package net
+
+import (
+	"time"
+
+	"oatloft/internal/core"
+	"oatloft/internal/platform"
+	"oatloft/policy"
+)
+
+// step feeds the reducer and carries out its effects; effects that make events feed it again.
+func (s *Server) step(ev core.Event) {
+	base := len(s.effects)
+	s.effects = s.core.Step(s.now(), ev, s.effects)
+	for i := base; i < len(s.effects); i++ {
+		e := s.effects[i]
+		s.effects[i] = nil
+		s.carryOut(e)
+	}
+	s.effects = s.effects[:base]
+}
+
+func (s *Server) carryOut(e core.Effect) {
+	switch e := e.(type) {
+	case core.Dial:
+		if t := s.terminals[e.Of]; t != nil {
+			t.answer, t.last, t.fromRegion = nil, platform.Line, platform.Scan{}
+			t.task = &link{s: s, role: taskRole, term: t, attempt: e.Attempt, region: e.Region}
+			s.dial(t.task, e.Addr, e.Timeout+dialLonger)
+		}
+	case core.SendLine:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil {
+			s.out = t.open.AppendLine(s.out[:0], e.Left)
+			t.task.write(s.out)
+			if t.task.flushed() {
+				s.step(core.Sent{Of: e.Of, Attempt: e.Attempt})
+			}
+		}
+	case core.DropTask:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil && t.task.attempt == e.Attempt {
+			t.task.drop()
+			t.task = nil
+		}
+	case core.Answer:
+		if t := s.terminals[e.To]; t != nil {
+			line := platform.Failed
+			if e.Short {
+				s.out = platform.AppendShort(s.out[:0], e.After)
+				line = s.out
+			}
+			s.finalAnswer(t, line)
+		}
+	case core.Pass:
+		t := s.terminals[e.Of]
+		if t == nil {
+			return
+		}
+		if e.ToRegion {
+			s.counters.BytesToRegions += int64(len(e.Data))
+			if t.task != nil {
+				t.task.write(e.Data)
+			}
+		} else {
+			s.counters.BytesToTerminals += int64(len(e.Data))
+			t.l.write(e.Data)
+		}
+		s.flow(t)
+	case core.Hold:
+		t := s.terminals[e.Of]
+		if t == nil {
+			return
+		}
+		l := t.l
+		if e.OfRegion {
+			l = t.task
+		}
+		if l != nil && e.On {
+			l.pause()
+		} else if l != nil {
+			l.resume()
+		}
+	case core.EndRegion:
+		if t := s.terminals[e.Of]; t != nil && t.task != nil {
+			if e.How == core.Broken {
+				t.task.reset()
+			} else {
+				t.task.fin(false)
+			}
+		}
+	case core.EndTerminal:
+		if t := s.terminals[e.Of]; t != nil {
+			s.closeTerminal(t, e.How)
+			if t.task != nil {
+				t.task.drop()
+			}
+		}
+	case core.MoveTerminal:
+		if t := s.terminals[e.Of]; t != nil {
+			if t.fromRegion.Between() {
+				s.moveNow(t)
+			} else {
+				t.moveBy = time.Now().Add(moveWait)
+				s.moving[t] = struct{}{}
+			}
+		}
+	case core.Probe:
+		s.probe(e)
+	case core.ForgetRegion:
+		if p := s.probes[e.Region]; p != nil {
+			if p.l != nil {
+				p.l.drop()
+				p.l = nil
+			}
+			delete(s.probes, e.Region)
+			if p.busy { // nobody will answer it, and the module asks no second time before it has an answer
+				s.step(core.Probed{Region: e.Region, Result: policy.Unreachable})
+			}
+		}
+	case core.Watch:
+		if s.watch != nil && s.watch.answered {
+			drop(&s.former)
+			s.former, s.watch = s.watch, nil
+		}
+		drop(&s.watch)
+		s.watch = &watch{l: &link{s: s, role: watchRole}, in: platform.WatchReader{Zero: s.cfg.Zero}, seq: e.Seq}
+		s.dial(s.watch.l, s.cfg.Discovery, 2*time.Second)
+	case core.Unwatch:
+		drop(&s.watch)
+	case core.Exit:
+		s.exit = true
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -1,6 +1,6 @@
 // Package net owns the sockets: nbio's engine, its callbacks, and the links that they serve (this file);
-// the loop that feeds the reducer and carries its effects out (server.go); and what a balancer is told at
-// its start (config.go). It must never decide anything, and must never let a callback touch what belongs
+// the loop that feeds the reducer (server.go) and carries its effects out (effects.go), with a file each for
+// terminals, routed tasks, probes, watches and the listener; and what a balancer is told at its start (config.go). It must never decide anything, and must never let a callback touch what belongs
 // to the reducer's goroutine: callbacks only post events.
 package net
 
--- /dev/null
+++ b/internal/net/listener.go
@@ -0,0 +1,43 @@
+// Taking connections in. This file owns the listener that nbio accepts from and the process's limit on
+// descriptors; it must never let the accept loop spin, nor drop a connection without a word.
+
+package net
+
+import (
+	"errors"
+	stdnet "net"
+	"syscall"
+	"time"
+)
+
+// gate lets terminals in while there are descriptors for them. Without it nbio's accept loop would turn
+// at full speed where they run out, and close what it can't take in.
+type gate struct {
+	stdnet.Listener
+	s *Server
+}
+
+func (g gate) Accept() (stdnet.Conn, error) {
+	for {
+		if g.s.sockets.Load() <= g.s.limit.Load()-reserve/2 {
+			c, err := g.Listener.Accept()
+			if err == nil || errors.Is(err, stdnet.ErrClosed) {
+				return c, err
+			}
+		}
+		time.Sleep(gateWait)
+	}
+}
+
+// openFiles is how many descriptors there may be, by configuration and by the system.
+func openFiles(limit int) int64 {
+	var r syscall.Rlimit
+	n := int64(1024)
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &r) == nil {
+		n = int64(min(r.Cur, 1<<20))
+	}
+	if limit > 0 {
+		n = min(n, int64(limit))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/net/tasks.go
@@ -0,0 +1,169 @@
+// Routed tasks and the bytes that pass. This file owns the links to the regions; it must never choose one, and
+// must never hold a line back but to move its terminal behind it.
+
+package net
+
+import (
+	"context"
+	stdnet "net"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"oatloft/internal/core"
+	"oatloft/internal/platform"
+)
+
+// fromRegion reads a routed task's answer, and passes on what follows it.
+func (s *Server) fromRegion(t *terminal, l *link, e event) {
+	if t.task != l {
+		return
+	}
+	switch e.kind {
+	case evConnected:
+		s.step(core.Connected{Of: t.handle, Attempt: l.attempt})
+	case evRefused:
+		t.task = nil
+		s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: core.Refused})
+	case evEnded, evBroken:
+		how := core.Closed
+		if e.kind == evBroken {
+			how = core.Broken
+		}
+		switch t.last {
+		case platform.Bye:
+			how = core.Finished
+		case platform.MoveAway:
+			how = core.MovedAway
+		}
+		s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: how})
+	case evData:
+		data := *e.data
+		if !t.up {
+			if len(t.answer) > 0 {
+				t.answer = append(t.answer, data...)
+				data = t.answer
+			}
+			line, tooLong := platform.Cut(data)
+			if line == nil && !tooLong {
+				t.answer = append([]byte(nil), data...)
+				return
+			}
+			t.answer = nil
+			how := core.Erred
+			switch platform.WordOf(line) {
+			case platform.Up:
+				t.up = true
+				t.l.knows()
+				seen := t.fromRegion.Read(data[len(line):])
+				t.last = seen.Last
+				s.step(core.Up{Of: t.handle, Attempt: l.attempt,
+					Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+				return
+			case platform.Busy:
+				how = core.TurnedAway
+			case platform.Bye:
+				how = core.Finished
+			case platform.MoveAway:
+				how = core.MovedAway
+			}
+			s.step(core.TaskEnded{Of: t.handle, Attempt: l.attempt, How: how})
+			return
+		}
+		s.pass(t, data)
+	}
+}
+
+// pass hands on a region's bytes. A terminal that is to be moved gets no byte behind the next line's end.
+func (s *Server) pass(t *terminal, data []byte) {
+	if !t.moveBy.IsZero() {
+		for i, c := range data {
+			if c == '\n' {
+				t.l.write(data[:i+1])
+				s.moveNow(t)
+				return
+			}
+		}
+		t.l.write(data)
+		return
+	}
+	seen := t.fromRegion.Read(data)
+	if seen.Last != platform.Line {
+		t.last = seen.Last
+	}
+	s.step(core.Passed{Of: t.handle, FromRegion: true,
+		Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+}
+
+// flushed follows a link that has written all it was given.
+func (s *Server) flushed(l *link) {
+	t := l.term
+	if t == nil {
+		return
+	}
+	if l.role == taskRole && t.task == l && !t.up {
+		s.step(core.Sent{Of: t.handle, Attempt: l.attempt})
+	}
+	s.flow(t)
+}
+
+// flow stops the reading of a side while the way to the other is full.
+func (s *Server) flow(t *terminal) {
+	for i, l := range []*link{t.l, t.task} {
+		if l == nil {
+			continue
+		}
+		switch b := l.backlog(); {
+		case !t.full[i] && b > fullAt:
+			t.full[i] = true
+			l.flushed() // asks to be told when all has left
+			s.step(core.Flow{Of: t.handle, ToRegion: i == 1, Full: true})
+		case t.full[i] && b < roomAt:
+			t.full[i] = false
+			s.step(core.Flow{Of: t.handle, ToRegion: i == 1})
+		}
+	}
+}
+
+// dial opens a link; an event tells what became of it. The standard library dials and nbio takes the
+// connection over: nbio's own DialAsync reads an address's first four bytes, which are zeros in the long
+// form that ResolveTCPAddr returns, and so connects to 0.0.0.0.
+func (s *Server) dial(l *link, addr string, timeout time.Duration) {
+	if s.sockets.Load() > s.limit.Load()-reserve/2 {
+		l.state = ended // nobody else knows it yet
+		s.queue.post(event{kind: evRefused, link: l})
+		return
+	}
+	s.sockets.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	l.cancel = cancel
+	go func() {
+		defer s.sockets.Add(-1)
+		defer cancel()
+		var d stdnet.Dialer
+		conn, err := d.DialContext(ctx, "tcp", addr)
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		if err == nil && l.state != dialing {
+			_ = conn.Close()
+			return
+		}
+		var c *nbio.Conn
+		if err == nil {
+			if c, err = nbio.NBConn(conn); err != nil {
+				_ = conn.Close()
+			}
+		}
+		if err != nil {
+			if l.state == dialing {
+				l.state = ended
+				s.queue.post(event{kind: evRefused, link: l})
+			}
+			return
+		}
+		l.c, l.state = c, live
+		s.publish(c, l)
+		s.queue.post(event{kind: evConnected, link: l})
+		_, _ = s.engine.AddConn(c) // a failure closes c, and onClose tells of it
+	}()
+}
