--- /dev/null
+++ b/cmd/oatctl/main.go
@@ -0,0 +1,85 @@
+// Command oatctl is for the operator's desk: it checks and compiles what balancers run on. It may use libraries
+// that would weigh on a balancer; it must never be needed while one serves.
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/alecthomas/kong"
+
+	"oatloft/internal/edgecue"
+)
+
+type flags struct {
+	Edge struct {
+		Check   check   `cmd:"" help:"Say what is wrong with a file of settings."`
+		Compile compile `cmd:"" help:"Check a file of settings and write what a balancer reads (serve --edge)."`
+		Show    show    `cmd:"" help:"Print settings with every default in sight; without a file, the defaults."`
+	} `cmd:"" help:"Our own settings, deploy/edge.cue."`
+}
+
+type check struct {
+	File string `arg:"" help:"Settings (CUE)."`
+}
+
+func (c *check) Run() error {
+	if _, err := edgecue.Compile(c.File); err != nil {
+		return err
+	}
+	fmt.Println(c.File + ": sound")
+	return nil
+}
+
+type compile struct {
+	File string `arg:"" help:"Settings (CUE)."`
+	Out  string `short:"o" help:"Where to write; standard output if not given." type:"path"`
+}
+
+func (c *compile) Run() error {
+	body, err := edgecue.Compile(c.File)
+	if err != nil {
+		return err
+	}
+	if c.Out == "" {
+		_, err = os.Stdout.Write(body)
+		return err
+	}
+	// Whole or not at all: a balancer may be told to read it at any time.
+	f, err := os.CreateTemp(filepath.Dir(c.Out), ".edge-*")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.Remove(f.Name()) }()
+	if _, err = f.Write(body); err == nil {
+		err = f.Chmod(0o644)
+	}
+	if e := f.Close(); err == nil {
+		err = e
+	}
+	if err != nil {
+		return err
+	}
+	return os.Rename(f.Name(), c.Out)
+}
+
+type show struct {
+	File string `arg:"" optional:"" help:"Settings (CUE)."`
+}
+
+func (s *show) Run() error {
+	text, err := edgecue.Show(s.File)
+	if err == nil {
+		_, err = os.Stdout.Write(text)
+	}
+	return err
+}
+
+func main() {
+	ctx := kong.Parse(&flags{}, kong.Name("oatctl"), kong.Description("Checks and compiles what oatloft balancers run on."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"runtime/debug"
@@ -13,6 +14,8 @@
 
 	"github.com/alecthomas/kong"
 
+	"oatloft/internal/edge"
+	"oatloft/internal/logs"
 	"oatloft/internal/net"
 )
 
@@ -27,42 +30,70 @@
 	Name      string `help:"The balancer's name, in place of the configuration's." env:"PROXY_NAME"`
 	Listen    string `help:"Where terminals connect, host:port." env:"PROXY_LISTEN"`
 	Discovery string `help:"Discovery's host:port." env:"PROXY_DISCOVERY"`
+	Edge      string `help:"Our own settings, compiled by oatctl edge compile (JSON); none if not given." env:"PROXY_EDGE" type:"path"`
 }
 
 func (s source) load() (net.Config, error) {
-	return net.LoadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+	cfg, err := net.LoadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+	if err == nil {
+		err = s.edge(&cfg)
+	}
+	return cfg, err
+}
+
+// edge adds our own settings.
+func (s source) edge(cfg *net.Config) error {
+	if s.Edge == "" {
+		return nil
+	}
+	e, err := edge.Load(s.Edge)
+	if err != nil {
+		return err
+	}
+	return cfg.SetEdge(e)
 }
 
-type serve struct{ source }
+type serve struct {
+	source
+	LogLevel  string `help:"From which level on lines are logged." enum:"debug,info,warn,error" default:"info"`
+	LogFormat string `help:"How lines are written on standard error." enum:"text,json" default:"text"`
+}
 
 func (s *serve) Run() error {
 	// Caught before anything listens: a signal that nobody catches ends the program.
 	leave, report := signals(syscall.SIGTERM, syscall.SIGINT), signals(syscall.SIGUSR1)
 	again := signals(syscall.SIGHUP)
+	log, err := logs.New(os.Stderr, s.LogFormat, s.LogLevel)
+	if err != nil {
+		return err
+	}
 	cfg, err := s.load()
 	if err != nil {
 		return err
 	}
 	cfg.SetLimits()
-	server, err := net.New(cfg, os.Stderr)
+	server, err := net.New(cfg, log)
 	if err != nil {
 		return err
 	}
 	if err := server.Start(); err != nil {
 		return err
 	}
-	return server.Run(context.Background(), leave, report, s.reloads(again))
+	return server.Run(context.Background(), leave, report, s.reloads(again, log))
 }
 
 // reloads reads the configuration again at each signal. A file that can't work is one line in the log, and
 // what was read before stays.
-func (s *serve) reloads(again <-chan struct{}) <-chan net.Config {
+func (s *serve) reloads(again <-chan struct{}, log *slog.Logger) <-chan net.Config {
 	out := make(chan net.Config)
 	go func() {
 		for range again {
 			cfg, err := net.ReloadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+			if err == nil {
+				err = s.edge(&cfg)
+			}
 			if err != nil {
-				fmt.Fprintln(os.Stderr, "oatloft: reload:", err, "(the old configuration stays)")
+				log.Error("not reloaded, the old configuration stays", "err", err)
 				continue
 			}
 			out <- cfg
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -28,8 +28,11 @@
 	"time"
 )
 
-// Ticket names one accepted connection from Accept to Closed. The zero Ticket is none.
-type Ticket int32
+// Ticket names one accepted connection from Accept to Closed; later it names nobody, whoever has its place then. The
+// zero Ticket is none.
+type Ticket uint64
+
+func (t Ticket) place() int32 { return int32(uint32(t)) }
 
 // Use is what a descriptor is held for.
 type Use uint8
@@ -135,7 +138,8 @@
 	exempt     bool
 	victim     bool
 	peer, net  int32
-	prev, next int32 // of the same address's silent ones, oldest first
+	prev, next int32  // of the same address's silent ones, oldest first
+	turn       uint32 // how often the place was taken
 	born       time.Duration
 	stood      time.Duration
 	bytes      int
@@ -157,7 +161,7 @@
 	now     time.Duration
 	rand    uint64
 	tickets []ticket
-	free    []Ticket
+	free    []int32
 	ledger  ledger
 	peers   *table // by address
 	nets    *table // by network
@@ -166,7 +170,7 @@
 	share   []float64 // of the transactions, by tenant
 	holds   []int     // transactions by tenant
 	silent  crowd
-	victims []Ticket
+	victims []Victim
 	swept   time.Duration
 	advised time.Duration // come-back times are dealt out up to here
 }
@@ -291,21 +295,21 @@
 	if g.ledger.over(1-slack) || !g.ledger.mayBeSilent(g.known.seenAt(n)) && !g.makeRoom(exempt, p) {
 		return g.refuse(NoDescriptor)
 	}
-	var t Ticket
+	var i int32
 	if k := len(g.free); k > 0 {
-		t, g.free = g.free[k-1], g.free[:k-1]
+		i, g.free = g.free[k-1], g.free[:k-1]
 	} else {
-		t = Ticket(len(g.tickets))
+		i = int32(len(g.tickets))
 		g.tickets = append(g.tickets, ticket{})
 	}
-	g.tickets[t] = ticket{use: Silent, exempt: exempt, peer: p, net: q, born: g.now}
+	g.tickets[i] = ticket{use: Silent, exempt: exempt, peer: p, net: q, born: g.now, turn: g.tickets[i].turn + 1}
 	g.peers.hold(p, 1)
 	g.nets.hold(q, 1)
-	g.silent.add(g, t)
+	g.silent.add(g, i)
 	g.ledger.move(Free, Silent)
 	g.Counters.Accepted++
 	g.ledger.relevel(g)
-	return t, Verdict{}
+	return g.name(i), Verdict{}
 }
 
 // Bytes tells that n bytes came from a terminal that is silent so far, in vain if not OK: its address keeps
@@ -348,7 +352,7 @@
 		_, v := g.refuse(r)
 		return v
 	}
-	g.silent.remove(g, t)
+	g.silent.remove(g, t.place())
 	g.ledger.move(Silent, Owed)
 	g.holds[x.tenant]++
 	g.nets.list[x.net].served++
@@ -416,7 +420,7 @@
 	case Leaving:
 		return
 	case Silent:
-		g.silent.remove(g, t)
+		g.silent.remove(g, t.place())
 	case Owed, Standing:
 		if x.use == Standing {
 			g.remember(x)
@@ -443,8 +447,8 @@
 	g.ledger.move(Leaving, Free)
 	g.peers.hold(x.peer, -1)
 	g.nets.hold(x.net, -1)
-	*x = ticket{}
-	g.free = append(g.free, t)
+	*x = ticket{turn: x.turn}
+	g.free = append(g.free, t.place())
 	g.ledger.relevel(g)
 }
 
@@ -481,15 +485,21 @@
 		case x.use == Standing:
 			g.remember(x)
 		case x.use == Silent && impatient && !x.victim && g.now-x.born >= g.cfg.Address.ShortPatience:
-			g.sendOff(Ticket(i), Impatience)
+			g.sendOff(int32(i), Impatience)
 		}
 	}
 	g.Counters.Forgotten += g.known.expire(g.now)
 }
 
-// Victims returns the silent terminals that are to be answered BUSY and closed now; each is returned once. The
-// slice is valid until the next call of the gate.
-func (g *Gate) Victims() []Ticket {
+// Victim is a silent terminal that is to be answered BUSY and closed now.
+type Victim struct {
+	Ticket
+	After time.Duration // when it should come again, 0 where there is no advice
+}
+
+// Victims returns those who are to make room; each is returned once. The slice is valid until the next call of
+// the gate.
+func (g *Gate) Victims() []Victim {
 	v := g.victims
 	g.victims = g.victims[:0]
 	return v
@@ -513,21 +523,23 @@
 // makeRoom chooses a silent terminal to be sent off. A newcomer of the address that has the most of them
 // makes room for nobody: it is refused itself.
 func (g *Gate) makeRoom(anybody bool, newcomer int32) bool {
-	t, ok := g.silent.worst(g)
-	if !ok || !anybody && g.tickets[t].peer == newcomer {
+	i, ok := g.silent.worst(g)
+	if !ok || !anybody && g.tickets[i].peer == newcomer {
 		return false
 	}
-	g.sendOff(t, MadeRoom)
+	g.sendOff(i, MadeRoom)
 	return true
 }
 
-func (g *Gate) sendOff(t Ticket, why Reason) {
+func (g *Gate) sendOff(i int32, why Reason) {
 	g.Counters.Refused[why]++
-	g.tickets[t].victim = true
-	g.silent.remove(g, t)
-	g.victims = append(g.victims, t)
+	g.tickets[i].victim = true
+	g.silent.remove(g, i)
+	g.victims = append(g.victims, Victim{g.name(i), g.advice()})
 }
 
+func (g *Gate) name(i int32) Ticket { return Ticket(g.tickets[i].turn)<<32 | Ticket(uint32(i)) }
+
 func (g *Gate) refuse(why Reason) (Ticket, Verdict) {
 	g.Counters.Refused[why]++
 	return 0, Verdict{Reason: why, After: g.advice()}
@@ -554,10 +566,11 @@
 func (g *Gate) tell(now time.Duration) { g.now = max(g.now, now) }
 
 func (g *Gate) ticket(t Ticket) *ticket {
-	if t <= 0 || int(t) >= len(g.tickets) || g.tickets[t].use == Free {
+	i := t.place()
+	if i <= 0 || int(i) >= len(g.tickets) || g.tickets[i].use == Free || g.name(i) != t {
 		return nil
 	}
-	return &g.tickets[t]
+	return &g.tickets[i]
 }
 
 func (g *Gate) at(t Ticket, u Use) *ticket {
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -100,7 +100,7 @@
 							name += strconv.Itoa(i)
 						}
 						v := g.Request(now, tickets[name], who)
-						fmt.Fprintf(&b, "%s %v", name, g.tickets[tickets[name]].rank)
+						fmt.Fprintf(&b, "%s %v", name, g.tickets[tickets[name].place()].rank)
 						say(&b, v)
 						if v.OK() && f[0] == "serve" {
 							g.Stood(now, tickets[name])
@@ -123,8 +123,8 @@
 					}
 				case "victims":
 					for _, v := range g.Victims() {
-						fmt.Fprintf(&b, "send off %s\n", names[v])
-						g.Closed(now, v)
+						fmt.Fprintf(&b, "send off %s\n", names[v.Ticket])
+						g.Closed(now, v.Ticket)
 					}
 				case "limit":
 					g.Limit(num(1), 0)
@@ -260,7 +260,7 @@
 	for i := range 30 {
 		tk, _ := g.Accept(now, regular(i))
 		g.Request(now, tk, Who{Key: fmt.Sprint("regular", i)})
-		if got := g.tickets[tk].rank; got != Known {
+		if got := g.tickets[tk.place()].rank; got != Known {
 			t.Fatalf("regular %d is a %v", i, got)
 		}
 	}
--- a/internal/admission/reference_test.go
+++ b/internal/admission/reference_test.go
@@ -139,7 +139,8 @@
 				now += time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond
 				g.Tick(now)
 			}
-			for _, tk := range append([]Ticket(nil), g.Victims()...) {
+			for _, victim := range append([]Victim(nil), g.Victims()...) {
+				tk := victim.Ticket
 				if ref.list[tk].use != Silent {
 					t.Fatalf("a terminal that is %v was sent off", ref.list[tk].use)
 				}
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -200,25 +200,25 @@
 	return min(e.silent, crowdMost)
 }
 
-func (c *crowd) add(g *Gate, t Ticket) {
+func (c *crowd) add(g *Gate, t int32) {
 	x := &g.tickets[t]
 	e := &g.peers.list[x.peer]
 	x.prev, x.next = e.tail, 0
 	if e.tail != 0 {
-		g.tickets[e.tail].next = int32(t)
+		g.tickets[e.tail].next = t
 	} else {
-		e.head = int32(t)
+		e.head = t
 	}
-	e.tail = int32(t)
+	e.tail = t
 	e.silent++
 	c.place(g, x.peer, c.rank(e, x.exempt))
 }
 
 // remove takes a ticket out, also its bytes; it may be called again.
-func (c *crowd) remove(g *Gate, t Ticket) {
+func (c *crowd) remove(g *Gate, t int32) {
 	x := &g.tickets[t]
 	e := &g.peers.list[x.peer]
-	if x.prev == 0 && e.head != int32(t) {
+	if x.prev == 0 && e.head != t {
 		return
 	}
 	if x.prev != 0 {
@@ -267,10 +267,10 @@
 
 // worst is the oldest silent terminal of the address that holds the most of them; where that one is too young,
 // of the next address: who changes his terminals quickly protects nobody else's.
-func (c *crowd) worst(g *Gate) (Ticket, bool) {
+func (c *crowd) worst(g *Gate) (int32, bool) {
 	for rank := crowdMost; rank > 0; rank-- {
 		if i := c.first[rank]; i != 0 {
-			t := Ticket(g.peers.list[i].head)
+			t := g.peers.list[i].head
 			if g.now-g.tickets[t].born >= Youngest {
 				return t, true
 			}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -69,6 +69,11 @@
 	Arrived struct{ From Handle }
 	// Crowded tells that descriptors run short, and how many more should be free.
 	Crowded struct{ By int }
+	// SendOff tells that one terminal has to make room, if it has said nothing so far.
+	SendOff struct {
+		From  Handle
+		After time.Duration // when it should come again; 0 if unknown
+	}
 	// Opened is a terminal's first line. At names the region that held it before the run.
 	Opened struct {
 		From Handle
@@ -157,6 +162,7 @@
 
 func (Arrived) event()       {}
 func (Crowded) event()       {}
+func (SendOff) event()       {}
 func (Opened) event()        {}
 func (TerminalEnded) event() {}
 func (Invalid) event()       {}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -132,6 +132,12 @@
 		r.arrivals = append(r.arrivals, arrival{ev.From, r.now})
 	case Crowded:
 		r.Counters.SentOff += r.sendOff(ev.By, youngest, true)
+	case SendOff:
+		if _, ok := r.quiet[ev.From]; ok {
+			delete(r.quiet, ev.From)
+			r.Counters.SentOff++
+			r.do(Answer{To: ev.From, Short: true, After: ev.After})
+		}
 	case Opened:
 		delete(r.quiet, ev.From)
 		r.opened(ev)
--- /dev/null
+++ b/internal/edge/edge.go
@@ -0,0 +1,263 @@
+// Package edge reads the compiled form of our own settings, deploy/edge.cue. It owns the records and their units;
+// it must never fill in a default: those are the schema's (internal/edgecue), so that what a balancer runs on is
+// all written in the file that it was given.
+package edge
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"oatloft/internal/admission"
+)
+
+// Form is the version of the compiled form. A file of another is refused.
+const Form = 1
+
+// Most is how long a compiled file may be, in bytes.
+const Most = 4 << 20
+
+// Settings are all that an edge file holds. A section that is nil is switched off.
+type Settings struct {
+	Form      int        `json:"oatloft_edge"`
+	Source    string     `json:"source"` // what it was compiled from
+	Admission *Admission `json:"admission"`
+}
+
+// Admission is the section of internal/admission.
+type Admission struct {
+	Address struct {
+		MaxConnections int      `json:"max_connections"`
+		MaxSilent      int      `json:"max_silent"`
+		NewPerSecond   float64  `json:"new_per_second"`
+		Burst          int      `json:"burst"`
+		MaxBytes       Size     `json:"max_bytes"`
+		ShortPatience  Duration `json:"short_patience"`
+		IPv6Prefix     int      `json:"ipv6_prefix"`
+		Table          int      `json:"table"`
+		Exempt         []string `json:"exempt"`
+	} `json:"address"`
+	Network struct {
+		IPv4Prefix   int     `json:"ipv4_prefix"`
+		IPv6Prefix   int     `json:"ipv6_prefix"`
+		NewPerSecond float64 `json:"new_per_second"`
+		Burst        int     `json:"burst"`
+		MaxShare     float64 `json:"max_share"`
+		Table        int     `json:"table"`
+	} `json:"network"`
+	Reserve struct {
+		Identity      string   `json:"identity"`
+		KnownShare    float64  `json:"known_share"`
+		StandFor      Duration `json:"stand_for"`
+		RememberFor   Duration `json:"remember_for"`
+		Max           int      `json:"max"`
+		MaxPerNetwork int      `json:"max_per_network"`
+		MaxPerClient  int      `json:"max_per_client"`
+		MuteFor       Duration `json:"mute_for"`
+		Snapshot      struct {
+			Path   string   `json:"path"`
+			Every  Duration `json:"every"`
+			MaxAge Duration `json:"max_age"`
+		} `json:"snapshot"`
+	} `json:"reserve"`
+	Descriptors struct {
+		SilentShare float64 `json:"silent_share"`
+		Overhead    int     `json:"overhead"`
+		GoodByes    int     `json:"good_byes"`
+		Tight       float64 `json:"tight"`
+		Short       float64 `json:"short"`
+		Full        float64 `json:"full"`
+		Hysteresis  float64 `json:"hysteresis"`
+	} `json:"descriptors"`
+	Memory struct {
+		Base        Size    `json:"base"`
+		Silent      Size    `json:"silent"`
+		Transaction Size    `json:"transaction"`
+		MaxShare    float64 `json:"max_share"`
+	} `json:"memory"`
+	ComeBack struct {
+		Advise    bool     `json:"advise"`
+		PerSecond float64  `json:"per_second"`
+		Least     Duration `json:"least"`
+		Most      Duration `json:"most"`
+	} `json:"come_back"`
+}
+
+// Duration is a time as Go writes it, "1.5s"; in JSON a string.
+type Duration time.Duration
+
+// UnmarshalText reads a time.
+func (d *Duration) UnmarshalText(b []byte) error {
+	x, err := time.ParseDuration(string(b))
+	if err != nil {
+		return fmt.Errorf("%q is no time such as \"250ms\"", b)
+	}
+	*d = Duration(x)
+	return nil
+}
+
+// MarshalText writes it.
+func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
+
+// Size is a number of bytes, "16KiB"; in JSON a string.
+type Size int64
+
+var sizes = []struct {
+	unit string
+	of   int64
+}{{"GiB", 1 << 30}, {"MiB", 1 << 20}, {"KiB", 1 << 10}, {"B", 1}}
+
+// UnmarshalText reads a size.
+func (s *Size) UnmarshalText(b []byte) error {
+	for _, u := range sizes {
+		if number, ok := strings.CutSuffix(string(b), u.unit); ok {
+			n, err := strconv.ParseInt(number, 10, 32)
+			if err != nil || n < 0 {
+				break
+			}
+			*s = Size(n * u.of)
+			return nil
+		}
+	}
+	return fmt.Errorf("%q is no size such as \"16KiB\"", b)
+}
+
+// MarshalText writes it.
+func (s Size) MarshalText() ([]byte, error) {
+	for _, u := range sizes {
+		if int64(s)%u.of == 0 && (s != 0 || u.of == 1) {
+			return []byte(strconv.FormatInt(int64(s)/u.of, 10) + u.unit), nil
+		}
+	}
+	return nil, nil
+}
+
+// Load reads the compiled file at path. An error is one line that names the file and the field.
+func Load(path string) (*Settings, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("edge: %w", err)
+	}
+	defer func() { _ = f.Close() }()
+	body := make([]byte, Most+1)
+	n := 0
+	for n < len(body) {
+		k, err := f.Read(body[n:])
+		if n += k; err != nil {
+			break
+		}
+	}
+	if n > Most {
+		return nil, fmt.Errorf("edge: %s: longer than %d bytes", path, Most)
+	}
+	s, err := Parse(body[:n])
+	if err != nil {
+		return nil, fmt.Errorf("edge: %s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Parse reads a compiled file's text.
+func Parse(body []byte) (*Settings, error) {
+	s := &Settings{}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err := d.Decode(s); err != nil {
+		return nil, fmt.Errorf("%w (is it compiled by this version's oatctl?)", err)
+	}
+	if s.Form != Form {
+		return nil, fmt.Errorf("oatloft_edge: form %d; this program reads %d", s.Form, Form)
+	}
+	if d.More() {
+		return nil, fmt.Errorf("something follows the settings")
+	}
+	// What the file doesn't name would be zero here: compare with what these settings write.
+	whole, err := json.Marshal(s)
+	if err != nil {
+		return nil, err
+	}
+	var have, want any
+	_ = json.Unmarshal(body, &have)
+	_ = json.Unmarshal(whole, &want)
+	if field := missing(want, have, ""); field != "" {
+		return nil, fmt.Errorf("%s: missing (compile the settings with this version's oatctl)", field)
+	}
+	if s.Admission != nil {
+		c, err := s.Admission.Config()
+		if err != nil {
+			return nil, err
+		}
+		if _, err := admission.New(c, 0); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func missing(want, have any, at string) string {
+	w, ok := want.(map[string]any)
+	if !ok {
+		return ""
+	}
+	h, _ := have.(map[string]any)
+	names := make([]string, 0, len(w))
+	for name := range w {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		path := strings.TrimPrefix(at+"."+name, ".")
+		got, ok := h[name]
+		if !ok {
+			return path
+		}
+		if field := missing(w[name], got, path); field != "" {
+			return field
+		}
+	}
+	return ""
+}
+
+var identities = map[string]admission.Identity{"flow": admission.ByFlow, "tenant+flow": admission.ByTenantAndFlow, "address": admission.ByAddress}
+
+// Config is what the decision module is to know. Tenants, and whether clients heed advice, are not the edge
+// file's: the host adds them.
+func (a *Admission) Config() (admission.Config, error) {
+	c := admission.Config{
+		Address: admission.Address{MaxConnections: a.Address.MaxConnections, MaxSilent: a.Address.MaxSilent,
+			NewPerSecond: a.Address.NewPerSecond, Burst: a.Address.Burst, MaxBytes: int(a.Address.MaxBytes),
+			ShortPatience: time.Duration(a.Address.ShortPatience), Prefix6: a.Address.IPv6Prefix, Table: a.Address.Table},
+		Network: admission.Network{Prefix4: a.Network.IPv4Prefix, Prefix6: a.Network.IPv6Prefix,
+			NewPerSecond: a.Network.NewPerSecond, Burst: a.Network.Burst, MaxShare: a.Network.MaxShare, Table: a.Network.Table},
+		Reserve: admission.Reserve{KnownShare: a.Reserve.KnownShare, StandFor: time.Duration(a.Reserve.StandFor),
+			RememberFor: time.Duration(a.Reserve.RememberFor), Max: a.Reserve.Max, MaxPerNetwork: a.Reserve.MaxPerNetwork,
+			MaxPerClient: a.Reserve.MaxPerClient, MuteFor: time.Duration(a.Reserve.MuteFor)},
+		Descriptors: admission.Descriptors{SilentShare: a.Descriptors.SilentShare, Overhead: a.Descriptors.Overhead,
+			Tight: a.Descriptors.Tight, Short: a.Descriptors.Short, Full: a.Descriptors.Full, Hysteresis: a.Descriptors.Hysteresis},
+		Memory: admission.Memory{Base: int64(a.Memory.Base), Silent: int64(a.Memory.Silent),
+			Transaction: int64(a.Memory.Transaction), MaxShare: a.Memory.MaxShare},
+		ComeBack: admission.ComeBack{Advise: a.ComeBack.Advise, PerSecond: a.ComeBack.PerSecond,
+			Least: time.Duration(a.ComeBack.Least), Most: time.Duration(a.ComeBack.Most)},
+	}
+	var ok bool
+	if c.Reserve.Identity, ok = identities[a.Reserve.Identity]; !ok {
+		return c, fmt.Errorf("admission.reserve.identity: %q is none of flow, tenant+flow, address", a.Reserve.Identity)
+	}
+	if a.Descriptors.GoodByes < 0 {
+		return c, fmt.Errorf("admission.descriptors.good_byes: negative")
+	}
+	for i, text := range a.Address.Exempt {
+		p, err := netip.ParsePrefix(text)
+		if err != nil {
+			return c, fmt.Errorf("admission.address.exempt[%d]: %q is no network such as 10.0.0.0/8", i, text)
+		}
+		c.Exempt = append(c.Exempt, p.Masked())
+	}
+	return c, nil
+}
--- /dev/null
+++ b/internal/edgecue/edgecue.go
@@ -0,0 +1,166 @@
+// Package edgecue checks and compiles our own settings. It owns the schema; it must never be linked into the
+// balancer, which reads what this package wrote: CUE costs 8 MB resident.
+package edgecue
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/ast"
+	"cuelang.org/go/cue/cuecontext"
+	"cuelang.org/go/cue/errors"
+	"cuelang.org/go/cue/format"
+	"cuelang.org/go/cue/token"
+
+	"oatloft/internal/edge"
+)
+
+//go:embed schema.cue
+var schema string
+
+const schemaFile = "schema.cue"
+
+// Compile checks the settings at path and returns them whole, defaults filled in, as the balancer reads them.
+// The error is one line a fault, each with file, line and field.
+func Compile(path string) ([]byte, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return CompileText(path, text)
+}
+
+// CompileText is Compile for a text that path is only the name of.
+func CompileText(path string, text []byte) ([]byte, error) {
+	ctx := cuecontext.New()
+	rules := ctx.CompileString(schema, cue.Filename(schemaFile))
+	if err := rules.Err(); err != nil {
+		return nil, err
+	}
+	given := ctx.CompileBytes(text, cue.Filename(path))
+	if err := given.Err(); err != nil {
+		return nil, faults(path, err)
+	}
+	whole := rules.LookupPath(cue.ParsePath("#Edge")).Unify(given)
+	if err := whole.Validate(cue.Concrete(true), cue.Final(), cue.All()); err != nil {
+		return nil, faults(path, err)
+	}
+	values, err := whole.MarshalJSON()
+	if err != nil {
+		return nil, faults(path, err)
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(values, &fields); err != nil {
+		return nil, err
+	}
+	out := map[string]json.RawMessage{"admission": json.RawMessage("null")}
+	for name, value := range fields {
+		out[name] = value
+	}
+	out["oatloft_edge"], _ = json.Marshal(edge.Form)
+	out["source"], _ = json.Marshal(filepath.Base(path))
+	body, err := json.MarshalIndent(out, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	body = append(body, '\n')
+	// Bounds that hang on several fields are the module's own: it is asked as the balancer will ask it.
+	if _, err := edge.Parse(body); err != nil {
+		field, _, _ := strings.Cut(err.Error(), ":")
+		if at := given.LookupPath(cue.ParsePath(field)).Pos(); at != token.NoPos {
+			return nil, fmt.Errorf("%s:%d:%d: %w", path, at.Line(), at.Column(), err)
+		}
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return body, nil
+}
+
+// Show returns the settings as CUE with every default in sight; without a file, those of the schema.
+func Show(path string) ([]byte, error) {
+	text := []byte("admission: {}\n")
+	if path != "" {
+		var err error
+		if text, err = os.ReadFile(path); err != nil {
+			return nil, err
+		}
+	}
+	body, err := CompileText(path, text)
+	if err != nil {
+		return nil, err
+	}
+	var fields map[string]json.RawMessage
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return nil, err
+	}
+	delete(fields, "oatloft_edge")
+	delete(fields, "source")
+	if body, err = json.Marshal(fields); err != nil {
+		return nil, err
+	}
+	syntax := cuecontext.New().CompileBytes(body).Syntax(cue.Final())
+	if x, ok := syntax.(*ast.StructLit); ok {
+		syntax = &ast.File{Decls: x.Elts}
+	}
+	return format.Node(syntax, format.Simplify())
+}
+
+// faults writes one line a field that is at fault. CUE tells of a field with a default once for each way in which
+// the value doesn't fit; that it isn't the default is no news.
+func faults(path string, err error) error {
+	type fault struct {
+		at, field, what string
+		weight          int
+	}
+	var list []fault
+	index := map[string]int{}
+	for _, e := range errors.Errors(err) {
+		format, args := e.Msg()
+		f := fault{position(path, e), strings.TrimPrefix(strings.Join(e.Path(), "."), "#Edge."), fmt.Sprintf(format, args...), 2}
+		switch {
+		case strings.Contains(f.what, "empty disjunction"):
+			f.weight = 0
+		case strings.HasPrefix(f.what, "conflicting values"):
+			f.weight = 1
+		}
+		f.what = strings.ReplaceAll(f.what, "\n", " ")
+		i, ok := index[f.field]
+		switch {
+		case !ok || f.field == "":
+			index[f.field] = len(list)
+			list = append(list, f)
+		case f.weight > list[i].weight || f.weight == list[i].weight && strings.Contains(f.what, "mismatched"):
+			list[i] = f
+		}
+	}
+	lines := make([]string, 0, len(list))
+	for _, f := range list {
+		if f.field != "" {
+			f.field += ": "
+		}
+		lines = append(lines, fmt.Sprintf("%s: %s%s", f.at, f.field, f.what))
+	}
+	if len(lines) == 0 {
+		return err
+	}
+	return errors.New(strings.Join(lines, "\n"))
+}
+
+// position is where in the given file a fault is, rather than in the schema.
+func position(path string, e errors.Error) string {
+	best := token.NoPos
+	for _, p := range append(errors.Positions(e), e.Position()) {
+		if p.Filename() == path {
+			best = p
+			break
+		}
+	}
+	if best == token.NoPos {
+		return path
+	}
+	return fmt.Sprintf("%s:%d:%d", path, best.Line(), best.Column())
+}
--- /dev/null
+++ b/internal/edgecue/schema.cue
@@ -0,0 +1,82 @@
+// The settings of our own that deploy/edge.cue may hold, with their units, bounds and defaults. A section that a
+// file leaves out is switched off; of a section that it names, whatever it doesn't set is as written here.
+
+// #Duration is a time: a number with its unit, ms, s, m or h.
+#Duration: =~"^[0-9]+(\\.[0-9]+)?(ms|s|m|h)$"
+
+// #Size is a number of bytes with its unit.
+#Size: =~"^[0-9]{1,9}(B|KiB|MiB|GiB)$"
+
+// #Share is a part of a whole.
+#Share: number & >=0 & <=1
+
+// #Network is a network as address/bits.
+#Network: =~"^[0-9a-fA-F.:]+/[0-9]+$"
+
+#Edge: {
+	admission?: #Admission
+}
+
+#Admission: {
+	// Caps of one address. IPv6 senders are counted by their prefix.
+	address: {
+		max_connections: int & >=1 | *16 // held at once
+		max_silent:      int & >=1 | *8 // of these, without a first line so far
+		new_per_second:  number & >0 | *10 // on average ...
+		burst:           int & >=1 | *20 // ... and at once
+		max_bytes:       #Size | *"16KiB" // sent before their first lines, by all of the address's silent ones
+		short_patience:  #Duration | *"500ms" // for a first line, where descriptors are short (2 s otherwise)
+		ipv6_prefix:     int & >=16 & <=128 | *64
+		table:           int & >=64 & <=1048576 | *4096 // addresses remembered
+		exempt: [...#Network] // fronts whose address stands for many clients: no caps
+	}
+	// Caps of a network of addresses, which may be one sender's.
+	network: {
+		ipv4_prefix:    int & >=8 & <=32 | *24
+		ipv6_prefix:    int & >=8 & <=128 | *48
+		new_per_second: number & >0 | *100
+		burst:          int & >=1 | *200
+		max_share:      #Share & >0 | *0.5 // of the transactions, for its strangers, from level tight on
+		table:          int & >=64 & <=1048576 | *1024
+	}
+	// What is kept for clients that have stood here before.
+	reserve: {
+		identity:        *"flow" | "tenant+flow" | "address"
+		known_share:     #Share & <=0.9 | *0.25 // of the descriptors for transactions
+		stand_for:       #Duration | *"10s" // until a client is known
+		remember_for:    #Duration | *"30m"
+		max:             int & >=8 & <=1048576 | *4096 // clients remembered
+		max_per_network: int & >=1 | *64
+		max_per_client:  int & >=1 | *2 // transactions at once with a known client's rights
+		mute_for:        #Duration | *"1m" // a known client that turned noisy is a stranger
+		snapshot: {
+			path:    string | *"" // none: nothing is kept across a restart
+			every:   #Duration | *"30s"
+			max_age: #Duration | *"30m"
+		}
+	}
+	// How the process's descriptors are divided, and when they count as short.
+	descriptors: {
+		silent_share: #Share & >0 & <=0.5 | *0.2 // for those without a first line
+		overhead:     int & >=0 | *16 // the process's own: listener, pollers, logs
+		good_byes:    int & >=0 & <=256 | *16 // for answers to those who were refused at the door
+		tight:        #Share | *0.75
+		short:        #Share | *0.9
+		full:         #Share | *0.98
+		hysteresis:   #Share | *0.15
+	}
+	// What a use costs. The limit itself is the deployment's.
+	memory: {
+		base:        #Size | *"16MiB" // the idle process
+		silent:      #Size | *"8KiB"
+		transaction: #Size | *"32KiB"
+		max_share:   #Share & >0 | *0.8
+	}
+	// Advice to the refused, where clients heed it.
+	come_back: {
+		advise:     bool | *true
+		per_second: number & >0 | *50
+		least:      #Duration | *"200ms"
+		most:       #Duration | *"2s"
+	}
+}
--- /dev/null
+++ b/internal/logs/logs.go
@@ -0,0 +1,85 @@
+// Package logs makes the program's loggers on log/slog. It owns the choice of form and level and the limit on
+// repeated lines; it must never decide what is worth a line, nor keep one back without counting it.
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"sync"
+	"time"
+)
+
+// New returns a logger that writes to w as "text" or "json", from level ("debug", "info", "warn", "error") on.
+func New(w io.Writer, format, level string) (*slog.Logger, error) {
+	var l slog.Level
+	if err := l.UnmarshalText([]byte(level)); err != nil {
+		return nil, fmt.Errorf("log level: %q is none of debug, info, warn, error", level)
+	}
+	opts := &slog.HandlerOptions{Level: l}
+	switch format {
+	case "text":
+		return slog.New(slog.NewTextHandler(w, opts)), nil
+	case "json":
+		return slog.New(slog.NewJSONHandler(w, opts)), nil
+	}
+	return nil, fmt.Errorf("log format: %q is neither text nor json", format)
+}
+
+// Limited writes one line a class and interval at most, with the number of those that it stands for, so that a
+// flood of events is no flood of lines. Classes are few: the code's own words, never a client's. It is safe for
+// concurrent use.
+type Limited struct {
+	log   *slog.Logger
+	every time.Duration
+	mu    sync.Mutex
+	of    map[string]*class
+}
+
+type class struct {
+	next    time.Time
+	skipped int64
+}
+
+// Limit returns a limiter for log's lines.
+func Limit(log *slog.Logger, every time.Duration) *Limited {
+	return &Limited{log: log, every: every, of: map[string]*class{}}
+}
+
+// Say writes a line of a class, or counts it for the class's next.
+func (l *Limited) Say(now time.Time, level slog.Level, kind, msg string, attrs ...slog.Attr) {
+	if !l.log.Enabled(context.Background(), level) {
+		return
+	}
+	l.mu.Lock()
+	c := l.of[kind]
+	if c == nil {
+		c = &class{}
+		l.of[kind] = c
+	}
+	if now.Before(c.next) {
+		c.skipped++
+		l.mu.Unlock()
+		return
+	}
+	skipped := c.skipped
+	c.next, c.skipped = now.Add(l.every), 0
+	l.mu.Unlock()
+	l.log.LogAttrs(context.Background(), level, msg, append(attrs, slog.String("class", kind), slog.Int64("more", skipped))...)
+}
+
+// Flush writes a line for every class that still stands for some.
+func (l *Limited) Flush(now time.Time) {
+	l.mu.Lock()
+	left := map[string]int64{}
+	for kind, c := range l.of {
+		if c.skipped > 0 && !now.Before(c.next) {
+			left[kind], c.skipped = c.skipped, 0
+		}
+	}
+	l.mu.Unlock()
+	for kind, n := range left {
+		l.log.LogAttrs(context.Background(), slog.LevelInfo, "not logged one by one", slog.String("class", kind), slog.Int64("more", n))
+	}
+}
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -12,7 +12,9 @@
 	"strconv"
 	"time"
 
+	"oatloft/internal/admission"
 	"oatloft/internal/core"
+	"oatloft/internal/edge"
 	"oatloft/internal/platform"
 	"oatloft/internal/settings"
 	"oatloft/policy"
@@ -24,6 +26,7 @@
 	MemoryMB, Sockets       int
 	Cores                   float64
 	Core                    core.Config
+	Admission               *Admission // nil: only counts of descriptors and memory hold
 	Known                   *core.Listed
 	Zero                    time.Time // the balancer's clock counts from here
 }
@@ -65,6 +68,33 @@
 	return ParseConfig(body, name, listen, either(file.Discovery, discovery))
 }
 
+// SetEdge adds our own settings to those of the platform, and what they need of those: the tenants, and whether
+// terminals heed a time to come back.
+func (c *Config) SetEdge(e *edge.Settings) error {
+	c.Admission = nil
+	if e == nil || e.Admission == nil {
+		return nil
+	}
+	a, err := e.Admission.Config()
+	if err != nil {
+		return err
+	}
+	p := c.Core.Policy
+	a.ComeBack.Advise = a.ComeBack.Advise && p.RetryAfter
+	if p.MaxRetryAfter > 0 {
+		a.ComeBack.Most = min(a.ComeBack.Most, p.MaxRetryAfter)
+		a.ComeBack.Least = min(a.ComeBack.Least, a.ComeBack.Most)
+	}
+	for _, t := range p.Tenants {
+		a.Tenants = append(a.Tenants, admission.Tenant{Name: t.Name, Weight: t.Connections})
+	}
+	s := &e.Admission.Reserve.Snapshot
+	c.Admission = &Admission{Config: a, GoodByes: e.Admission.Descriptors.GoodByes, Snapshot: s.Path,
+		SnapshotEvery: time.Duration(s.Every), SnapshotLives: time.Duration(s.MaxAge)}
+	_, err = admission.New(a, 0)
+	return err
+}
+
 // ParseConfig reads a configuration.
 func ParseConfig(body []byte, name, listen, discovery string) (Config, error) {
 	var file configFile
--- /dev/null
+++ b/internal/net/door.go
@@ -0,0 +1,366 @@
+// The door: the listener's and the loop's way to internal/admission, where that is configured. This file owns the
+// lock around the gate, the spare descriptors and the good-byes to those who were refused before nbio saw them; it
+// must never decide who is let in, and must never drop a connection without a line.
+
+package net
+
+import (
+	"errors"
+	"io"
+	"log/slog"
+	stdnet "net"
+	"net/netip"
+	"os"
+	"runtime"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/lesismal/nbio"
+
+	"oatloft/internal/admission"
+	"oatloft/internal/knownstore"
+	"oatloft/internal/logs"
+	"oatloft/internal/platform"
+)
+
+const (
+	spares      = 2                      // given up when the process has no descriptor left: one to answer, one to hand over
+	goodByeWait = 250 * time.Millisecond // for a refused terminal to read its answer and end
+	goodByeMost = 64 << 10               // bytes of it that are read away meanwhile
+	starvedWait = 3 * time.Millisecond   // between two tries to get a descriptor
+)
+
+// Admission is what the host needs to know beside the module's settings.
+type Admission struct {
+	admission.Config
+	GoodByes                     int
+	Snapshot                     string // path; none if empty
+	SnapshotEvery, SnapshotLives time.Duration
+}
+
+// door is asked by the accepting goroutine, by nbio's for ends, and by the reducer's.
+type door struct {
+	now  func() time.Duration
+	log  *slog.Logger
+	said *logs.Limited
+	cfg  Admission
+
+	mu     sync.Mutex
+	gate   *admission.Gate
+	spare  []*os.File
+	byes   []stdnet.Conn // oldest first
+	taken  admission.Ticket
+	doomed map[admission.Ticket]admission.Victim // to be sent off before the reducer has heard of them
+}
+
+func newDoor(cfg Admission, seed uint64, now func() time.Duration, log *slog.Logger, said *logs.Limited) (*door, error) {
+	g, err := admission.New(cfg.Config, seed)
+	if err != nil {
+		return nil, err
+	}
+	d := &door{now: now, log: log, said: said, cfg: cfg, gate: g, doomed: map[admission.Ticket]admission.Victim{}}
+	g.Fixed(admission.Spare, spares+cfg.GoodByes)
+	g.Fixed(admission.Discovery, 2)
+	d.restock()
+	if cfg.Snapshot != "" {
+		s, err := knownstore.Load(cfg.Snapshot, time.Now(), cfg.SnapshotLives)
+		if err != nil {
+			log.Warn("known clients not restored, starting with none", "err", err)
+		} else if len(s.Clients) > 0 {
+			log.Info("known clients restored", "clients", g.Restore(now(), s.Seed, s.Clients), "of", len(s.Clients))
+		}
+	}
+	return d, nil
+}
+
+// restock opens the spare descriptors that are missing.
+func (d *door) restock() {
+	for len(d.spare) < spares {
+		f, err := os.Open(os.DevNull)
+		if err != nil {
+			return
+		}
+		d.spare = append(d.spare, f)
+	}
+}
+
+// starved tells the gate that the process has no descriptor left, and gives up the spare ones for what can't wait.
+func (d *door) starved(lend bool) {
+	d.mu.Lock()
+	d.gate.Exhausted(d.now())
+	if lend {
+		for _, f := range d.spare {
+			_ = f.Close()
+		}
+		d.spare = d.spare[:0]
+	}
+	d.mu.Unlock()
+	d.said.Say(time.Now(), slog.LevelWarn, "exhaustion", "the process has no descriptor left")
+}
+
+func noDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE)
+}
+
+// accept returns the next connection that is let in. The others get their answer here, at the price of some calls
+// to the system. Between two of them others get their turn: with one core a flood would else have it for 10 ms
+// at a time.
+func (d *door) accept(l stdnet.Listener) (stdnet.Conn, error) {
+	for {
+		c, err := l.Accept()
+		switch {
+		case errors.Is(err, stdnet.ErrClosed):
+			return nil, err
+		case noDescriptor(err):
+			d.turnAway(l)
+			continue
+		case err != nil:
+			time.Sleep(gateWait)
+			continue
+		}
+		d.mu.Lock()
+		if d.taken != 0 { // nbio could not take the one before in
+			d.gate.Closed(d.now(), d.taken)
+		}
+		var v admission.Verdict
+		d.taken, v = d.gate.Accept(d.now(), remote(c))
+		d.mu.Unlock()
+		if v.OK() {
+			nc, err := nbio.NBConn(c)
+			if err == nil {
+				return nc, nil
+			}
+			d.starved(false)
+			d.mu.Lock()
+			d.gate.Closed(d.now(), d.taken)
+			d.taken, v = 0, d.gate.Refusal(d.now(), admission.Exhaustion)
+			d.mu.Unlock()
+		}
+		d.goodBye(c, v)
+		runtime.Gosched()
+	}
+}
+
+// turnAway answers a connection that the process has no descriptor for: the spare ones make room for it.
+func (d *door) turnAway(l stdnet.Listener) {
+	d.starved(true)
+	if t, ok := l.(*stdnet.TCPListener); ok { // whoever waited may be gone; don't wait for the next with no spare
+		_ = t.SetDeadline(time.Now().Add(starvedWait))
+		defer func() { _ = t.SetDeadline(time.Time{}) }()
+	}
+	c, err := l.Accept()
+	if err != nil {
+		time.Sleep(starvedWait)
+	} else {
+		d.mu.Lock()
+		v := d.gate.Refusal(d.now(), admission.Exhaustion)
+		d.mu.Unlock()
+		d.refused(c, v)
+		d.answer(c, v)
+		drain(c)
+		_ = c.Close()
+	}
+	d.mu.Lock()
+	d.restock()
+	d.mu.Unlock()
+}
+
+// drain reads away what has come already, so that closing doesn't reset what was answered.
+func drain(c stdnet.Conn) {
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool {
+		var b [4096]byte
+		for range goodByeMost / len(b) {
+			if n, err := syscall.Read(int(fd), b[:]); n <= 0 || err != nil {
+				break
+			}
+		}
+		return true
+	})
+}
+
+func remote(c stdnet.Conn) netip.Addr {
+	a, _ := c.RemoteAddr().(*stdnet.TCPAddr)
+	if a == nil {
+		return netip.Addr{}
+	}
+	return a.AddrPort().Addr()
+}
+
+func (d *door) refused(c stdnet.Conn, v admission.Verdict) {
+	d.said.Say(time.Now(), slog.LevelInfo, v.Reason.String(), "refused", slog.Any("from", remote(c)), slog.Duration("after", v.After))
+}
+
+func (d *door) answer(c stdnet.Conn, v admission.Verdict) {
+	var line [32]byte
+	_, _ = c.Write(platform.AppendShort(line[:0], v.After)) // a fresh socket takes it at once
+	if t, ok := c.(*stdnet.TCPConn); ok {
+		_ = t.CloseWrite()
+	}
+}
+
+// goodBye answers and waits a little for the other side to end, since what it sends to a closed socket would make
+// a reset of the answer. No more than GoodByes wait so; the oldest of them gives up its place.
+func (d *door) goodBye(c stdnet.Conn, v admission.Verdict) {
+	d.refused(c, v)
+	d.answer(c, v)
+	drain(c)
+	if d.cfg.GoodByes == 0 {
+		_ = c.Close()
+		return
+	}
+	d.mu.Lock()
+	if len(d.byes) >= d.cfg.GoodByes {
+		_ = d.byes[0].Close()
+		d.byes = append(d.byes[:0], d.byes[1:]...)
+	}
+	d.byes = append(d.byes, c)
+	d.mu.Unlock()
+	_ = c.SetReadDeadline(time.Now().Add(goodByeWait))
+	go func() {
+		_, _ = io.CopyN(io.Discard, c, goodByeMost)
+		d.mu.Lock()
+		for i, other := range d.byes {
+			if other == c {
+				d.byes = append(d.byes[:i], d.byes[i+1:]...)
+				break
+			}
+		}
+		_ = c.Close()
+		d.mu.Unlock()
+	}()
+}
+
+// ticket is that of the connection which accept returned last; nbio opens it on the same goroutine.
+func (d *door) ticket() admission.Ticket {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	t := d.taken
+	d.taken = 0
+	return t
+}
+
+func (d *door) closed(t admission.Ticket) {
+	d.mu.Lock()
+	d.gate.Closed(d.now(), t)
+	delete(d.doomed, t)
+	d.mu.Unlock()
+}
+
+func (d *door) answered(t admission.Ticket) {
+	d.mu.Lock()
+	d.gate.Answered(d.now(), t)
+	d.mu.Unlock()
+}
+
+func (d *door) stood(t admission.Ticket) {
+	d.mu.Lock()
+	d.gate.Stood(d.now(), t)
+	d.mu.Unlock()
+}
+
+func (d *door) bytes(t admission.Ticket, n int) admission.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Bytes(d.now(), t, n)
+}
+
+func (d *door) request(t admission.Ticket, o platform.Open) admission.Verdict {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Request(d.now(), t, admission.Who{Key: o.Key, Tenant: o.Tenant})
+}
+
+// tick lets the gate's time pass and tells it what the process holds.
+func (d *door) tick(probes int, memory int64) (pressed bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.restock()
+	d.gate.Fixed(admission.Probe, probes)
+	if memory > 0 {
+		d.gate.Memory(memory)
+	}
+	before := d.gate.Level()
+	d.gate.Tick(d.now())
+	if l := d.gate.Level(); l != before {
+		d.said.Say(time.Now(), slog.LevelInfo, "level", "level changed", slog.String("from", before.String()), slog.String("to", l.String()))
+	}
+	return d.gate.Pressed()
+}
+
+// victims are the silent terminals that are to be sent off now. Those that the reducer has not heard of yet are
+// kept in mind for accepted.
+func (d *door) victims(known func(admission.Ticket) bool, into []admission.Victim) []admission.Victim {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, v := range d.gate.Victims() {
+		if known(v.Ticket) {
+			into = append(into, v)
+		} else {
+			d.doomed[v.Ticket] = v
+		}
+	}
+	return into
+}
+
+// isDoomed tells whether a terminal that the reducer hears of now was chosen before.
+func (d *door) isDoomed(t admission.Ticket) (v admission.Victim, was bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	v, was = d.doomed[t]
+	delete(d.doomed, t)
+	return v, was
+}
+
+func (d *door) limit(descriptors, memoryMB int) {
+	d.mu.Lock()
+	d.gate.Limit(descriptors, int64(memoryMB)<<20)
+	d.mu.Unlock()
+}
+
+func (d *door) report() admission.Report {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.gate.Report()
+}
+
+// reconfigure takes new settings, whole or not at all. What the tables hold, and where snapshots go, stays.
+func (d *door) reconfigure(a Admission) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if a.Snapshot != d.cfg.Snapshot {
+		return errors.New("admission.reserve.snapshot.path: can't change while serving")
+	}
+	if err := d.gate.Reconfigure(a.Config); err != nil {
+		return err
+	}
+	d.cfg = a
+	d.gate.Fixed(admission.Spare, spares+a.GoodByes)
+	return nil
+}
+
+// keep writes the snapshot of known clients now and then, until stop is closed, and once more then.
+func (d *door) keep(stop <-chan struct{}) {
+	if d.cfg.Snapshot == "" {
+		return
+	}
+	tick := time.NewTicker(max(time.Second, d.cfg.SnapshotEvery))
+	defer tick.Stop()
+	for last := false; !last; {
+		select {
+		case <-tick.C:
+		case <-stop:
+			last = true
+		}
+		d.mu.Lock()
+		seed, clients := d.gate.KnownClients()
+		d.mu.Unlock()
+		if err := knownstore.Save(d.cfg.Snapshot, knownstore.Snapshot{At: time.Now(), Seed: seed, Clients: clients}); err != nil {
+			d.said.Say(time.Now(), slog.LevelWarn, "snapshot", "known clients not kept", slog.Any("err", err))
+		}
+	}
+}
--- a/internal/net/link.go
+++ b/internal/net/link.go
@@ -8,6 +8,7 @@
 	"errors"
 	"io"
 	stdnet "net"
+	"oatloft/internal/admission"
 	"os"
 	"reflect"
 	"sync"
@@ -44,9 +45,11 @@
 	term    *terminal
 	attempt int
 	region  string
-	endBy   time.Time // finishing: closed by force then
-	seen    int64     // finishing: of what was written, at the last look
-	cancel  func()    // stops the dialing
+	ticket  admission.Ticket // of a terminal, where admission is configured
+	from    stdnet.Addr      // likewise
+	endBy   time.Time        // finishing: closed by force then
+	seen    int64            // finishing: of what was written, at the last look
+	cancel  func()           // stops the dialing
 
 	mu      sync.Mutex
 	state   linkState
@@ -472,19 +475,11 @@
 // handOver moves the socket from nbio to a tail, and with it what nbio has not written yet: it would
 // drop that when it closes its descriptor.
 func (l *link) handOver() bool {
-	var conn stdnet.Conn
-	control(l.c, func(fd int) {
-		twin, err := syscall.Dup(fd)
-		if err != nil {
-			return
-		}
-		syscall.CloseOnExec(twin)
-		f := os.NewFile(uintptr(twin), "terminal")
-		defer func() { _ = f.Close() }()
-		if c, err := stdnet.FileConn(f); err == nil {
-			conn = c
-		}
-	})
+	conn := l.twin()
+	if conn == nil && l.s.door != nil { // the spare descriptors are for this: the terminal's answer hangs on it
+		l.s.door.starved(true)
+		conn = l.twin()
+	}
 	if conn == nil {
 		return false
 	}
@@ -501,6 +496,23 @@
 	return true
 }
 
+// twin is the same socket under a second descriptor, nil if there is none to be had.
+func (l *link) twin() (conn stdnet.Conn) {
+	control(l.c, func(fd int) {
+		twin, err := syscall.Dup(fd)
+		if err != nil {
+			return
+		}
+		syscall.CloseOnExec(twin)
+		f := os.NewFile(uintptr(twin), "terminal")
+		defer func() { _ = f.Close() }()
+		if c, err := stdnet.FileConn(f); err == nil {
+			conn = c
+		}
+	})
+	return conn
+}
+
 // unwatch takes a connection out of nbio's epoll. nbio leaves that to close(2), which does it only for
 // the last descriptor of a socket; while the tail has another, events would go on coming under the
 // old number, and nbio would close whoever has got it since. The poller's descriptor is not exported.
@@ -538,7 +550,12 @@
 }
 
 func (t *tail) run() {
-	defer t.l.s.sockets.Add(-1)
+	defer func() {
+		t.l.s.sockets.Add(-1)
+		if t.l.ticket != 0 {
+			t.l.s.door.closed(t.l.ticket)
+		}
+	}()
 	for {
 		t.mu.Lock()
 		for len(t.todo) == 0 && !t.done {
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	stdnet "net"
+	"oatloft/internal/admission"
 	"syscall"
 	"time"
 )
@@ -18,8 +19,11 @@
 }
 
 func (g gate) Accept() (stdnet.Conn, error) {
+	if g.s.door != nil {
+		return g.s.door.accept(g.Listener)
+	}
 	for {
-		if g.s.sockets.Load() <= g.s.limit.Load()-reserve/2 {
+		if g.s.basic().MayOpen(int(g.s.sockets.Load())) {
 			c, err := g.Listener.Accept()
 			if err == nil || errors.Is(err, stdnet.ErrClosed) {
 				return c, err
@@ -29,6 +33,9 @@
 	}
 }
 
+// basic are the limits that hold where no admission is configured.
+func (s *Server) basic() admission.Basic { return admission.Basic{Limit: int(s.limit.Load())} }
+
 // openFiles is how many descriptors there may be, by configuration and by the system.
 func openFiles(limit int) int64 {
 	var r syscall.Rlimit
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"log/slog"
 	stdnet "net"
 	"os"
 	"path/filepath"
@@ -116,7 +117,7 @@
 			cfg.MemoryMB = n
 		}
 	}
-	if p.server, err = New(cfg, io.Discard); err != nil {
+	if p.server, err = New(cfg, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
 	if err := p.server.Start(); err != nil {
@@ -311,7 +312,7 @@
 // A probe under way to a region that moves or goes is reported: the module would wait for it for ever.
 func TestForgottenProbeIsReported(t *testing.T) {
 	p := start(t, "")
-	s, err := New(p.server.cfg, io.Discard)
+	s, err := New(p.server.cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -325,7 +326,7 @@
 // A terminal that sends without end can't fill the memory while the reducer's goroutine is busy.
 func TestReadingIsBounded(t *testing.T) {
 	p := start(t, "")
-	s, err := New(p.server.cfg, io.Discard)
+	s, err := New(p.server.cfg, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -7,8 +7,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
-	"io"
+	"log/slog"
 	stdnet "net"
 	"runtime"
 	"runtime/debug"
@@ -19,7 +20,9 @@
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
 
+	"oatloft/internal/admission"
 	"oatloft/internal/core"
+	"oatloft/internal/logs"
 	"oatloft/policy"
 )
 
@@ -27,7 +30,6 @@
 	fullAt       = 64 << 10 // a link with more than this to write stops the other side's reading ...
 	roomAt       = 16 << 10 // ... until it has less than this
 	socketBuffer = 64 << 10 // of the system, for what waits while the other side is full
-	reserve      = 48       // descriptors kept for what is not a terminal or a routed task
 	moveWait     = time.Second
 	dialLonger   = 50 * time.Millisecond  // dialing sockets outlive the reducer's patience by this
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
@@ -59,25 +61,36 @@
 	batch     []event
 	exit      bool
 	limit     atomic.Int64 // of descriptors
-	short     bool         // of memory
+	door      *door        // nil where no admission is configured
+	byTicket  map[admission.Ticket]*terminal
+	sendOff   []admission.Victim
+	short     bool // of memory
 	checkAt   time.Time
 	counters  struct {
 		Accepted, LinesIn, BytesToRegions, BytesToTerminals, Pings, Malformed, NoRoom int64
 		Reloads                                                                       int64
 	}
-	log io.Writer
+	log  *slog.Logger
+	said *logs.Limited
 }
 
 // New prepares a balancer and listens on its address.
-func New(cfg Config, log io.Writer) (*Server, error) {
+func New(cfg Config, log *slog.Logger) (*Server, error) {
 	r, err := core.New(cfg.Core)
 	if err != nil {
 		return nil, err
 	}
 	s := &Server{cfg: cfg, core: r, terminals: map[core.Handle]*terminal{}, probes: map[string]*probe{},
-		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log,
+		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log, said: logs.Limit(log, time.Second),
 		queue: queue{bell: make(chan struct{}, 1)}}
 	s.limit.Store(openFiles(cfg.Sockets))
+	if cfg.Admission != nil {
+		s.byTicket = map[admission.Ticket]*terminal{}
+		if s.door, err = newDoor(*cfg.Admission, uint64(cfg.Core.Seed), s.now, log, s.said); err != nil {
+			return nil, err
+		}
+		s.door.limit(int(s.limit.Load()), cfg.MemoryMB)
+	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
@@ -94,6 +107,9 @@
 			return
 		}
 		l := &link{s: s, role: terminalRole, c: c, state: live}
+		if s.door != nil {
+			l.ticket, l.from = s.door.ticket(), c.RemoteAddr()
+		}
 		s.publish(c, l)
 		s.queue.post(event{kind: evOpened, link: l})
 	})
@@ -129,6 +145,9 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.ticket != 0 && l.tail == nil { // a tail's descriptor is closed by the tail
+		s.door.closed(l.ticket)
+	}
 	if l.c == c && l.state == live {
 		l.state = ended
 		s.queue.post(event{kind: evBroken, link: l})
@@ -171,6 +190,11 @@
 func (s *Server) Run(ctx context.Context, leave, report <-chan struct{}, reload <-chan Config) error {
 	tick := time.NewTicker(core.TickEvery)
 	defer tick.Stop()
+	if s.door != nil {
+		stop, kept := make(chan struct{}), make(chan struct{})
+		go func() { s.door.keep(stop); close(kept) }()
+		defer func() { close(stop); <-kept }()
+	}
 	var exitBy time.Time
 	for {
 		if s.exit && exitBy.IsZero() {
@@ -204,8 +228,12 @@
 // known of the regions stay; the list that the file holds is older than what a watch has brought since.
 func (s *Server) reload(cfg Config) {
 	if cfg.Listen != s.cfg.Listen {
-		fmt.Fprintf(s.log, "oatloft: reload: listen: can't change from %s to %s while serving; the old configuration stays\n",
-			s.cfg.Listen, cfg.Listen)
+		s.log.Error("not reloaded, the old configuration stays", "err",
+			fmt.Sprintf("listen: can't change from %s to %s while serving", s.cfg.Listen, cfg.Listen))
+		return
+	}
+	if err := s.reloadDoor(cfg.Admission); err != nil {
+		s.log.Error("not reloaded, the old configuration stays", "err", err)
 		return
 	}
 	moved := cfg.Discovery != s.cfg.Discovery
@@ -214,16 +242,33 @@
 	s.counters.Reloads++
 	s.limit.Store(min(openFiles(cfg.Sockets), int64(nbio.MaxOpenFiles)-moreFiles/2))
 	cfg.SetLimits()
+	if s.door != nil {
+		s.door.limit(int(s.limit.Load()), cfg.MemoryMB)
+	}
 	s.step(core.Reconfigured{Config: cfg.Core, Moved: moved})
-	fmt.Fprintf(s.log, "oatloft: reloaded, discovery at %s\n", cfg.Discovery)
+	s.log.Info("reloaded", "discovery", cfg.Discovery)
 }
 
-// Report prints the counters as one line of JSON.
+// reloadDoor takes new settings of admission. What is held was never counted where it was off.
+func (s *Server) reloadDoor(a *Admission) error {
+	switch {
+	case (a == nil) != (s.door == nil):
+		return errors.New("admission: can't be switched on or off while serving")
+	case a == nil:
+		return nil
+	}
+	return s.door.reconfigure(*a)
+}
+
+// Report logs the counters, as one object of JSON in one line.
 func (s *Server) Report() {
-	line, err := json.Marshal(map[string]any{"name": s.cfg.Name, "sockets": s.sockets.Load(),
-		"open": s.core.Open(), "owed": s.core.Owed(), "core": s.core.Counters, "net": s.counters})
-	if err == nil {
-		fmt.Fprintf(s.log, "counters %s\n", line)
+	all := map[string]any{"name": s.cfg.Name, "sockets": s.sockets.Load(),
+		"open": s.core.Open(), "owed": s.core.Owed(), "core": s.core.Counters, "net": s.counters}
+	if s.door != nil {
+		all["admission"] = s.door.report()
+	}
+	if line, err := json.Marshal(all); err == nil {
+		s.log.Info("counters", "all", json.RawMessage(line))
 	}
 }
 
@@ -239,6 +284,20 @@
 	for _, l := range starved {
 		l.feed()
 	}
+	s.makeRoom()
+}
+
+// makeRoom sends off the silent terminals that the gate has chosen.
+func (s *Server) makeRoom() {
+	if s.door == nil {
+		return
+	}
+	s.sendOff = s.door.victims(func(t admission.Ticket) bool { return s.byTicket[t] != nil }, s.sendOff[:0])
+	for _, v := range s.sendOff {
+		if t := s.byTicket[v.Ticket]; t != nil {
+			s.step(core.SendOff{From: t.handle, After: v.After})
+		}
+	}
 }
 
 func (s *Server) handle(e event) {
@@ -287,12 +346,19 @@
 			}
 		}
 	}
+	used := int64(0)
 	if now.After(s.checkAt) {
 		s.checkAt = now.Add(checkEvery)
-		s.short = s.cfg.MemoryMB > 0 && heap() > uint64(s.cfg.MemoryMB)<<20*8/10
+		used = int64(heap())
+		s.short = s.basic().MemoryShort(used, int64(s.cfg.MemoryMB)<<20)
+		s.said.Flush(now)
 	}
-	limit, grace := int(s.limit.Load()), time.Duration(0)
-	if over := int(s.sockets.Load()) - (limit - reserve - limit/8); over > 0 {
+	grace := time.Duration(0)
+	if s.door != nil {
+		if s.door.tick(len(s.probes), used) {
+			grace = endSooner
+		}
+	} else if over := s.basic().Crowded(int(s.sockets.Load())); over > 0 {
 		s.step(core.Crowded{By: over})
 		grace = endSooner
 	}
--- a/internal/net/tasks.go
+++ b/internal/net/tasks.go
@@ -54,6 +54,9 @@
 			switch platform.WordOf(line) {
 			case platform.Up:
 				t.up = true
+				if s.door != nil {
+					s.door.stood(t.l.ticket)
+				}
 				t.l.knows()
 				seen := t.fromRegion.Read(data[len(line):])
 				t.last = seen.Last
@@ -125,11 +128,24 @@
 	}
 }
 
+// wait lets the gate know that the process has no descriptor left, and lets some time pass in which one may be
+// freed. It is false when the dialing's own time is over.
+func (s *Server) wait(ctx context.Context) bool {
+	s.door.starved(false)
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(starvedWait):
+		return true
+	}
+}
+
 // dial opens a link; an event tells what became of it. The standard library dials and nbio takes the
 // connection over: nbio's own DialAsync reads an address's first four bytes, which are zeros in the long
 // form that ResolveTCPAddr returns, and so connects to 0.0.0.0.
 func (s *Server) dial(l *link, addr string, timeout time.Duration) {
-	if s.sockets.Load() > s.limit.Load()-reserve/2 {
+	// Where admission is configured, what a routed task needs was set aside when its transaction was picked up.
+	if s.door == nil && !s.basic().MayOpen(int(s.sockets.Load())) {
 		l.state = ended // nobody else knows it yet
 		s.queue.post(event{kind: evRefused, link: l})
 		return
@@ -142,6 +158,10 @@
 		defer cancel()
 		var d stdnet.Dialer
 		conn, err := d.DialContext(ctx, "tcp", addr)
+		for err != nil && noDescriptor(err) && s.door != nil && s.wait(ctx) {
+			// Nothing has left for the region: this is the same attempt still.
+			conn, err = d.DialContext(ctx, "tcp", addr)
+		}
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		if err == nil && l.state != dialing {
@@ -152,6 +172,9 @@
 		if err == nil {
 			if c, err = nbio.NBConn(conn); err != nil {
 				_ = conn.Close()
+				if s.door != nil && noDescriptor(err) {
+					s.door.starved(true)
+				}
 			}
 		}
 		if err != nil {
--- a/internal/net/terminals.go
+++ b/internal/net/terminals.go
@@ -4,8 +4,10 @@
 package net
 
 import (
+	"log/slog"
 	"time"
 
+	"oatloft/internal/admission"
 	"oatloft/internal/core"
 	"oatloft/internal/platform"
 )
@@ -34,6 +36,13 @@
 	l.term = t
 	s.terminals[t.handle] = t
 	s.step(core.Arrived{From: t.handle})
+	if l.ticket == 0 {
+		return
+	}
+	s.byTicket[l.ticket] = t
+	if v, ok := s.door.isDoomed(l.ticket); ok {
+		s.step(core.SendOff{From: t.handle, After: v.After})
+	}
 }
 
 func (s *Server) fromTerminal(t *terminal, e event) {
@@ -41,6 +50,7 @@
 	case evData:
 		switch {
 		case t.over:
+		case !t.up && !t.asked && s.tooMuch(t, len(*e.data)):
 		case t.up:
 			seen := t.toRegion.Read(*e.data)
 			s.counters.LinesIn += int64(seen.Lines)
@@ -65,7 +75,7 @@
 		}
 		if how == core.Broken {
 			t.over = true
-			delete(s.terminals, t.handle)
+			s.forget(t)
 		}
 	}
 }
@@ -103,11 +113,8 @@
 		t.begun, t.asked = nil, true
 		open.Keep()
 		t.open = open
-		if s.short || s.sockets.Load() > s.limit.Load()-reserve {
-			s.counters.NoRoom++
-			t.over = true
-			s.step(core.TerminalEnded{From: t.handle})
-			s.finalAnswer(t, platform.AppendShort(nil, 0))
+		if v := s.mayTake(t); !v.OK() {
+			s.turnAway(t, v)
 			return
 		}
 		s.step(core.Opened{From: t.handle, Request: open.Request, At: open.At})
@@ -122,6 +129,51 @@
 	s.step(core.Invalid{From: t.handle})
 }
 
+// mayTake asks whether a transaction may be picked up.
+func (s *Server) mayTake(t *terminal) admission.Verdict {
+	switch {
+	case s.door != nil:
+		return s.door.request(t.l.ticket, t.open)
+	case !s.basic().MayTake(int(s.sockets.Load()), s.short):
+		return admission.Verdict{Reason: admission.NoDescriptor}
+	}
+	return admission.Verdict{}
+}
+
+// tooMuch follows the bytes that come before a first line, and turns away whose address sends too many.
+func (s *Server) tooMuch(t *terminal, n int) bool {
+	if s.door == nil {
+		return false
+	}
+	v := s.door.bytes(t.l.ticket, n)
+	if v.OK() {
+		return false
+	}
+	t.asked = true
+	s.turnAway(t, v)
+	return true
+}
+
+// turnAway gives the short-on-capacity reply to a terminal whose transaction is not picked up.
+func (s *Server) turnAway(t *terminal, v admission.Verdict) {
+	s.counters.NoRoom++
+	t.over = true
+	if s.door != nil {
+		s.said.Say(time.Now(), slog.LevelInfo, v.Reason.String(), "refused", slog.Any("from", t.l.from), slog.Duration("after", v.After))
+	}
+	s.step(core.TerminalEnded{From: t.handle})
+	s.finalAnswer(t, platform.AppendShort(nil, v.After))
+}
+
+// forget lets go of a terminal that gets nothing more.
+func (s *Server) forget(t *terminal) {
+	delete(s.terminals, t.handle)
+	if t.l.ticket != 0 {
+		delete(s.byTicket, t.l.ticket)
+		s.door.answered(t.l.ticket)
+	}
+}
+
 // finalAnswer is all that a terminal gets. One that has said nothing has nothing left to be read: it is
 // closed at once, others when they have ended.
 func (s *Server) finalAnswer(t *terminal, line []byte) {
@@ -134,7 +186,7 @@
 
 func (s *Server) closeTerminal(t *terminal, how core.Ending) {
 	t.over = true
-	delete(s.terminals, t.handle)
+	s.forget(t)
 	delete(s.moving, t)
 	if how == core.Broken {
 		t.l.reset()
