--- /dev/null
+++ b/cmd/oatlab/main.go
@@ -0,0 +1,23 @@
+// Command oatlab is the project's laboratory: load, failures and measurements against stand-ins on loopback. It may
+// use heavy libraries and all cores; it must never be part of a running deployment, and what it starts ends with it.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+)
+
+type flags struct {
+	Noise     noise          `cmd:"" help:"Make noise against a balancer until standard input ends; then print what was opened, refused and served."`
+	Admission admissionTable `cmd:"" help:"Measure what good terminals get while an address makes noise, with admission off and on."`
+}
+
+func main() {
+	ctx := kong.Parse(&flags{}, kong.Name("oatlab"), kong.Description("Load, failures and measurements for oatloft, on loopback."))
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "oatlab:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -115,6 +115,7 @@
 type Verdict struct {
 	Reason Reason
 	After  time.Duration
+	Curt   bool // it comes so often that its answer is all it gets: no waiting for it to end
 }
 
 // OK tells that the client is let in.
@@ -168,7 +169,7 @@
 	known   knownTable
 	tenants map[string]int
 	share   []float64 // of the transactions, by tenant
-	holds   []int     // transactions by tenant
+	holds   [3][]int  // transactions by rank and tenant
 	silent  crowd
 	victims []Victim
 	swept   time.Duration
@@ -209,7 +210,11 @@
 	for _, t := range cfg.Tenants {
 		sum += t.Weight
 	}
-	share, holds := make([]float64, len(cfg.Tenants)+1), make([]int, len(cfg.Tenants)+1)
+	share := make([]float64, len(cfg.Tenants)+1)
+	var holds [3][]int
+	for rank := range holds {
+		holds[rank] = make([]int, len(cfg.Tenants)+1)
+	}
 	for i, t := range cfg.Tenants {
 		g.tenants[t.Name] = i + 1 // 0 are all that nobody configured
 		if share[i+1] = 1; sum > 0 && t.Weight > 0 {
@@ -226,7 +231,7 @@
 	for i := range g.tickets {
 		if t := &g.tickets[i]; t.use == Owed || t.use == Standing {
 			t.tenant = moved[t.tenant]
-			holds[t.tenant]++
+			holds[t.rank][t.tenant]++
 		}
 	}
 	g.share, g.holds = share, holds
@@ -280,7 +285,9 @@
 		switch peer := &g.peers.list[p]; {
 		case !g.peers.take(p, g.now, c.NewPerSecond, c.Burst):
 			peer.strike(g.now, c.NewPerSecond)
-			return g.refuse(AddressRate)
+			_, v := g.refuse(AddressRate)
+			v.Curt = peer.strikes(g.now, c.NewPerSecond) >= strikesMax
+			return 0, v
 		case int(peer.held) >= c.MaxConnections:
 			return g.refuse(AddressConnections)
 		case int(peer.silent) >= c.MaxSilent:
@@ -349,12 +356,16 @@
 	}
 	x.tenant = g.tenants[who.Tenant]
 	if r := g.judge(x); r != Admitted {
+		if x.rank == Stranger && !x.exempt && r != NoMemory && r != NoDescriptor {
+			// Whoever asks on and on for what there is not costs more than who is turned away at the door.
+			g.peers.charge(x.peer, g.now, g.cfg.Address.NewPerSecond, g.cfg.Address.Burst)
+		}
 		_, v := g.refuse(r)
 		return v
 	}
 	g.silent.remove(g, t.place())
 	g.ledger.move(Silent, Owed)
-	g.holds[x.tenant]++
+	g.holds[x.rank][x.tenant]++
 	g.nets.list[x.net].served++
 	switch x.rank {
 	case Known:
@@ -373,7 +384,7 @@
 // judge is the order of sacrifice for transactions.
 func (g *Gate) judge(x *ticket) Reason {
 	l := &g.ledger
-	beyond := float64(g.holds[x.tenant]) >= g.share[x.tenant]*float64(l.transactions/2)
+	beyond := g.beyond(x)
 	switch {
 	case l.outOfMemory() || l.memoryShort():
 		return NoMemory
@@ -397,6 +408,17 @@
 	return Admitted
 }
 
+// beyond tells that a tenant holds its share of the transactions. Only what known clients hold counts against those,
+// since anybody can name a tenant. A tenant that has the whole is never beyond it.
+func (g *Gate) beyond(x *ticket) bool {
+	n := g.holds[Known][x.tenant]
+	if x.rank != Known {
+		n += g.holds[Stranger][x.tenant] + g.holds[Claimant][x.tenant]
+	}
+	share := g.share[x.tenant]
+	return share < 1 && float64(n) >= share*float64(g.ledger.transactions/2)
+}
+
 // Stood tells that a transaction is up.
 func (g *Gate) Stood(now time.Duration, t Ticket) {
 	g.tell(now)
@@ -425,7 +447,7 @@
 		if x.use == Standing {
 			g.remember(x)
 		}
-		g.holds[x.tenant]--
+		g.holds[x.rank][x.tenant]--
 		g.nets.list[x.net].served--
 		if x.rank != Stranger {
 			g.ledger.known--
@@ -505,18 +527,15 @@
 	return v
 }
 
-// remember makes a client known once it has stood for long enough.
+// remember makes a client known once it has stood for long enough, from its next connection on. Nobody becomes known
+// while it is tight: to stand and wait is then what a flood does. Nor does this connection change its rank: it took
+// a stranger's place, and to count it against the reserve would open the reserve's place to another stranger.
 func (g *Gate) remember(x *ticket) {
-	if g.now-x.stood < g.cfg.Reserve.StandFor {
+	if g.now-x.stood < g.cfg.Reserve.StandFor || g.ledger.level >= Tight && !g.known.has(x.key) {
 		return
 	}
 	if g.known.stood(x.key, g.nets.list[x.net].key, g.now, x.stood) {
 		g.Counters.Promoted++
-		if x.rank == Stranger { // from now on it fills the reserve rather than the strangers' part
-			x.rank = Known
-			g.ledger.known++
-			g.known.use(x.key, Known, 1)
-		}
 	}
 }
 
--- a/internal/admission/known.go
+++ b/internal/admission/known.go
@@ -63,6 +63,8 @@
 	return nil
 }
 
+func (k *knownTable) has(id uint64) bool { return k.index[id] != 0 }
+
 // rank says what a client that presents this identity from this network counts as.
 func (k *knownTable) rank(id uint64, net key, now time.Duration) Rank {
 	r := k.get(id, now)
--- a/internal/admission/reference_test.go
+++ b/internal/admission/reference_test.go
@@ -55,6 +55,14 @@
 	return true
 }
 
+// charge adds three connections' worth, as far as there is room.
+func (r *reference) charge(addr netip.Addr, now time.Duration) {
+	step := time.Duration(float64(time.Second) / r.cfg.Address.NewPerSecond)
+	level := max(0, r.level[addr]-(now-r.at[addr]))
+	r.at[addr] = now
+	r.level[addr] = max(level, min(level+3*step, step*time.Duration(r.cfg.Address.Burst)))
+}
+
 // Whatever happens, the gate keeps an address's caps exactly as the reference does, its ledger's sums are right,
 // and it never holds more than the budget and the slack.
 func TestAgainstReference(t *testing.T) {
@@ -118,6 +126,9 @@
 					v := g.Request(now, tk, Who{fmt.Sprint(rapid.IntRange(0, 9).Draw(t, "key")), "acme"})
 					if ref.list[tk].use = Owed; !v.OK() {
 						ref.list[tk].use = Silent
+						if addr := ref.list[tk].addr; v.Reason != NoDescriptor && v.Reason != NoMemory {
+							ref.charge(addr, now)
+						}
 						end(tk)
 					}
 				}
@@ -170,10 +181,8 @@
 		if g.ledger.used() != 0 || g.ledger.known != 0 {
 			t.Fatalf("%d held, %d of known clients, with nobody there", g.ledger.used(), g.ledger.known)
 		}
-		for i, n := range g.holds {
-			if n != 0 {
-				t.Fatalf("tenant %d holds %d", i, n)
-			}
+		if want := make([]int, 3); fmt.Sprint(g.holds) != fmt.Sprint([3][]int{want, want, want}) {
+			t.Fatalf("tenants hold %v", g.holds)
 		}
 	})
 }
--- a/internal/admission/table.go
+++ b/internal/admission/table.go
@@ -148,6 +148,13 @@
 	return true
 }
 
+// charge makes a connection that was let in and then refused cost as much as four.
+func (t *table) charge(i int32, now time.Duration, rate float64, burst int) {
+	e := &t.list[i]
+	step := perItem(rate)
+	e.debt = max(e.debt, min(max(e.debt, now)+3*step, now+time.Duration(burst)*step))
+}
+
 // hold pins an entry while it holds connections.
 func (t *table) hold(i int32, n int32) {
 	e := &t.list[i]
--- a/internal/net/door.go
+++ b/internal/net/door.go
@@ -25,6 +25,8 @@
 )
 
 const (
+	refusals    = 16                     // in one turn of the accepting goroutine
+	refusalRest = 50 * time.Microsecond  // in which the runtime looks at the network
 	spares      = 2                      // given up when the process has no descriptor left: one to answer, one to hand over
 	goodByeWait = 250 * time.Millisecond // for a refused terminal to read its answer and end
 	goodByeMost = 64 << 10               // bytes of it that are read away meanwhile
@@ -46,6 +48,9 @@
 	said *logs.Limited
 	cfg  Admission
 
+	refusedInTurn int // of the accepting goroutine alone, as is the pause
+	pause         *pause
+
 	mu     sync.Mutex
 	gate   *admission.Gate
 	spare  []*os.File
@@ -59,7 +64,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &door{now: now, log: log, said: said, cfg: cfg, gate: g, doomed: map[admission.Ticket]admission.Victim{}}
+	d := &door{now: now, log: log, said: said, cfg: cfg, gate: g, pause: newPause(), doomed: map[admission.Ticket]admission.Victim{}}
 	g.Fixed(admission.Spare, spares+cfg.GoodByes)
 	g.Fixed(admission.Discovery, 2)
 	d.restock()
@@ -105,15 +110,21 @@
 
 // accept returns the next connection that is let in. The others get their answer here, at the price of some calls
 // to the system. Between two of them others get their turn: with one core a flood would else have it for 10 ms
-// at a time.
-func (d *door) accept(l stdnet.Listener) (stdnet.Conn, error) {
+// at a time. That is not enough: as long as anybody can run, the runtime asks what came in from the network (the
+// ends of dials, for one) each 10 ms only. So this goroutine rests after some refusals, and a flood is taken in
+// turns: what has queued up meanwhile waits for the rest and no longer.
+func (d *door) accept(raw syscall.RawConn) (stdnet.Conn, error) {
 	for {
-		c, err := l.Accept()
+		if d.refusedInTurn >= refusals {
+			d.refusedInTurn = 0
+			d.pause.rest(refusalRest)
+		}
+		fd, from, err := acceptRaw(raw, true)
 		switch {
 		case errors.Is(err, stdnet.ErrClosed):
 			return nil, err
 		case noDescriptor(err):
-			d.turnAway(l)
+			d.turnAway(raw)
 			continue
 		case err != nil:
 			time.Sleep(gateWait)
@@ -124,93 +135,109 @@
 			d.gate.Closed(d.now(), d.taken)
 		}
 		var v admission.Verdict
-		d.taken, v = d.gate.Accept(d.now(), remote(c))
+		d.taken, v = d.gate.Accept(d.now(), from)
 		d.mu.Unlock()
 		if v.OK() {
-			nc, err := nbio.NBConn(c)
+			c, err := asConn(fd)
 			if err == nil {
-				return nc, nil
+				nc, err := nbio.NBConn(c)
+				if err == nil {
+					return nc, nil
+				}
+				_ = c.Close()
 			}
 			d.starved(false)
 			d.mu.Lock()
 			d.gate.Closed(d.now(), d.taken)
 			d.taken, v = 0, d.gate.Refusal(d.now(), admission.Exhaustion)
 			d.mu.Unlock()
+			v.Curt = true // there is no descriptor to wait with
 		}
-		d.goodBye(c, v)
+		d.refusedInTurn++
+		d.goodBye(fd, from, v)
 		runtime.Gosched()
 	}
 }
 
-// turnAway answers a connection that the process has no descriptor for: the spare ones make room for it.
-func (d *door) turnAway(l stdnet.Listener) {
-	d.starved(true)
-	if t, ok := l.(*stdnet.TCPListener); ok { // whoever waited may be gone; don't wait for the next with no spare
-		_ = t.SetDeadline(time.Now().Add(starvedWait))
-		defer func() { _ = t.SetDeadline(time.Time{}) }()
+// acceptRaw takes a connection from the listener without what the standard library does for each: most of those
+// that are refused live for three calls to the system. It waits for one if told to.
+func acceptRaw(l syscall.RawConn, wait bool) (fd int, from netip.Addr, err error) {
+	closed := l.Read(func(s uintptr) bool {
+		var sa syscall.Sockaddr
+		for {
+			if fd, sa, err = syscall.Accept4(int(s), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); !errors.Is(err, syscall.EINTR) {
+				break
+			}
+		}
+		switch sa := sa.(type) {
+		case *syscall.SockaddrInet4:
+			from = netip.AddrFrom4(sa.Addr)
+		case *syscall.SockaddrInet6:
+			from = netip.AddrFrom16(sa.Addr).Unmap()
+		}
+		return !wait || !errors.Is(err, syscall.EAGAIN)
+	})
+	if closed != nil {
+		return 0, from, stdnet.ErrClosed
 	}
-	c, err := l.Accept()
+	return fd, from, err
+}
+
+// asConn makes the standard library's connection of a copy of fd, and closes fd if that worked.
+func asConn(fd int) (stdnet.Conn, error) {
+	twin, err := syscall.Dup(fd)
 	if err != nil {
-		time.Sleep(starvedWait)
-	} else {
+		return nil, err
+	}
+	syscall.CloseOnExec(twin)
+	f := os.NewFile(uintptr(twin), "terminal")
+	c, err := stdnet.FileConn(f)
+	_ = f.Close()
+	if err == nil {
+		_ = syscall.Close(fd)
+	}
+	return c, err
+}
+
+// turnAway answers a connection that the process has no descriptor for: the spare ones make room for it.
+func (d *door) turnAway(l syscall.RawConn) {
+	d.starved(true)
+	fd, from, err := acceptRaw(l, false)
+	if err == nil {
 		d.mu.Lock()
 		v := d.gate.Refusal(d.now(), admission.Exhaustion)
 		d.mu.Unlock()
-		d.refused(c, v)
-		d.answer(c, v)
-		drain(c)
-		_ = c.Close()
+		v.Curt = true
+		d.goodBye(fd, from, v)
+	} else {
+		time.Sleep(starvedWait)
 	}
 	d.mu.Lock()
 	d.restock()
 	d.mu.Unlock()
 }
 
-// drain reads away what has come already, so that closing doesn't reset what was answered.
-func drain(c stdnet.Conn) {
-	raw, err := c.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return
-	}
-	_ = raw.Read(func(fd uintptr) bool {
-		var b [4096]byte
-		for range goodByeMost / len(b) {
-			if n, err := syscall.Read(int(fd), b[:]); n <= 0 || err != nil {
-				break
-			}
+// goodBye answers, and waits a little for the other side to end, since what it sends to a closed socket would make
+// a reset of the answer. No more than GoodByes wait so; the oldest of them gives up its place. Where the verdict is
+// curt, what has come already is read away, and that is all.
+func (d *door) goodBye(fd int, from netip.Addr, v admission.Verdict) {
+	d.said.Say(time.Now(), slog.LevelInfo, v.Reason.String(), "refused", slog.Any("from", from), slog.Duration("after", v.After))
+	var line [32]byte
+	_, _ = syscall.Write(fd, platform.AppendShort(line[:0], v.After)) // a fresh socket takes it at once
+	var junk [4096]byte
+	for range goodByeMost / len(junk) {
+		if n, err := syscall.Read(fd, junk[:]); n <= 0 || err != nil {
+			break
 		}
-		return true
-	})
-}
-
-func remote(c stdnet.Conn) netip.Addr {
-	a, _ := c.RemoteAddr().(*stdnet.TCPAddr)
-	if a == nil {
-		return netip.Addr{}
 	}
-	return a.AddrPort().Addr()
-}
-
-func (d *door) refused(c stdnet.Conn, v admission.Verdict) {
-	d.said.Say(time.Now(), slog.LevelInfo, v.Reason.String(), "refused", slog.Any("from", remote(c)), slog.Duration("after", v.After))
-}
-
-func (d *door) answer(c stdnet.Conn, v admission.Verdict) {
-	var line [32]byte
-	_, _ = c.Write(platform.AppendShort(line[:0], v.After)) // a fresh socket takes it at once
-	if t, ok := c.(*stdnet.TCPConn); ok {
-		_ = t.CloseWrite()
+	if v.Curt || d.cfg.GoodByes == 0 {
+		_ = syscall.Close(fd)
+		return
 	}
-}
-
-// goodBye answers and waits a little for the other side to end, since what it sends to a closed socket would make
-// a reset of the answer. No more than GoodByes wait so; the oldest of them gives up its place.
-func (d *door) goodBye(c stdnet.Conn, v admission.Verdict) {
-	d.refused(c, v)
-	d.answer(c, v)
-	drain(c)
-	if d.cfg.GoodByes == 0 {
-		_ = c.Close()
+	_ = syscall.Shutdown(fd, syscall.SHUT_WR)
+	c, err := asConn(fd)
+	if err != nil {
+		_ = syscall.Close(fd)
 		return
 	}
 	d.mu.Lock()
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -7,6 +7,7 @@
 	"errors"
 	stdnet "net"
 	"oatloft/internal/admission"
+	"os"
 	"syscall"
 	"time"
 )
@@ -15,12 +16,39 @@
 // at full speed where they run out, and close what it can't take in.
 type gate struct {
 	stdnet.Listener
-	s *Server
+	s    *Server
+	file *os.File // the same socket, for the door: a listener of the standard library lets nobody else accept
+}
+
+// listen opens the listener that nbio accepts from.
+func (s *Server) listen(network, addr string) (stdnet.Listener, error) {
+	l, err := stdnet.Listen(network, addr)
+	if err != nil || s.door == nil {
+		return gate{Listener: l, s: s}, err
+	}
+	f, err := l.(*stdnet.TCPListener).File()
+	if err != nil {
+		_ = l.Close()
+		return nil, err
+	}
+	return gate{l, s, f}, nil
+}
+
+// Close ends the accepting as well.
+func (g gate) Close() error {
+	if g.file != nil {
+		_ = g.file.Close()
+	}
+	return g.Listener.Close()
 }
 
 func (g gate) Accept() (stdnet.Conn, error) {
 	if g.s.door != nil {
-		return g.s.door.accept(g.Listener)
+		raw, err := g.file.SyscallConn()
+		if err != nil {
+			return nil, stdnet.ErrClosed
+		}
+		return g.s.door.accept(raw)
 	}
 	for {
 		if g.s.basic().MayOpen(int(g.s.sockets.Load())) {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -10,7 +10,6 @@
 	"errors"
 	"fmt"
 	"log/slog"
-	stdnet "net"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -95,10 +94,7 @@
 	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
 		EpollMod: nbio.EPOLLET, ReadBufferSize: 1024,
-		Listen: func(network, addr string) (stdnet.Listener, error) {
-			l, err := stdnet.Listen(network, addr)
-			return gate{l, s}, err
-		}})
+		Listen: s.listen})
 	s.engine.OnOpen(func(c *nbio.Conn) {
 		s.sockets.Add(1)
 		_ = c.SetReadBuffer(socketBuffer)
--- /dev/null
+++ b/internal/standin/discovery.go
@@ -0,0 +1,165 @@
+package standin
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"oatloft/internal/rules"
+)
+
+// Discovery lists the regions, whole or as a watch on changes, over HTTP/1.1. Its zero value is started by New.
+type Discovery struct {
+	Addr string
+
+	w       *World
+	mu      sync.Mutex
+	changed chan struct{} // closed and made anew at each change
+	seq     int64
+	hosts   map[string]Host
+	log     []change
+	down    bool
+	server  *http.Server
+}
+
+type change struct {
+	seq  int64
+	host Host
+}
+
+func (d *Discovery) start(w *World) error {
+	d.w, d.hosts, d.changed = w, map[string]Host{}, make(chan struct{})
+	for _, h := range w.Hosts() {
+		d.hosts[h.Host] = h
+	}
+	l, err := net.Listen("tcp", "127.9.255.1:0")
+	if err != nil {
+		return err
+	}
+	d.Addr = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", d.serve)
+	d.server = &http.Server{Handler: mux}
+	w.OnClose(func() {
+		d.mu.Lock()
+		d.down = true
+		close(d.changed)
+		d.changed = make(chan struct{})
+		d.mu.Unlock()
+		_ = d.server.Close()
+	})
+	w.Go(func() { _ = d.server.Serve(l) })
+	return nil
+}
+
+// Tell changes a region's health: ready, draining or gone. Watches that stand are told at once.
+func (d *Discovery) Tell(region, health string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.hosts[region]
+	if !ok {
+		for _, r := range d.w.Regions {
+			if r.Name == region {
+				h = Host{Host: r.Name, Dial: r.Addr, Site: "here", Class: "m", Share: 1}
+			}
+		}
+	}
+	h.Health = health
+	if d.seq++; health == "gone" {
+		delete(d.hosts, region)
+	} else {
+		d.hosts[region] = h
+	}
+	d.log = append(d.log, change{d.seq, h})
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// Cut takes discovery down or up again: watches end, and calls are answered 503 meanwhile.
+func (d *Discovery) Cut(down bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.down = down
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+func (d *Discovery) serve(out http.ResponseWriter, r *http.Request) {
+	d.mu.Lock()
+	down := d.down
+	d.mu.Unlock()
+	if down {
+		http.Error(out, "down", http.StatusServiceUnavailable)
+		return
+	}
+	if r.URL.Query().Get("watch") != "1" {
+		d.mu.Lock()
+		body := d.list(-1)
+		d.mu.Unlock()
+		_, _ = out.Write(append(body, '\n'))
+		return
+	}
+	from, _ := strconv.ParseInt(r.URL.Query().Get("from"), 10, 64)
+	flush, _ := out.(http.Flusher)
+	for {
+		d.mu.Lock()
+		changed, stop := d.changed, d.down
+		var body []byte
+		if from < d.seq {
+			body = d.list(from)
+		}
+		seq, told := d.seq, d.since(from)
+		d.mu.Unlock()
+		if stop {
+			panic(http.ErrAbortHandler) // ends the connection with the chunk open
+		}
+		if _, err := fmt.Fprintf(out, "%s\n", body); err != nil {
+			return
+		}
+		flush.Flush()
+		for _, c := range told {
+			d.w.Saw(rules.Told, "", c.host.Host, c.host.Health)
+		}
+		from = seq
+		select {
+		case <-changed:
+		case <-time.After(2 * time.Second):
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (d *Discovery) since(from int64) (list []change) {
+	for _, c := range d.log {
+		if c.seq > from {
+			list = append(list, c)
+		}
+	}
+	return list
+}
+
+// list is the whole list, or the changes after a version.
+func (d *Discovery) list(from int64) []byte {
+	msg := struct {
+		Seq   int64  `json:"seq"`
+		Whole bool   `json:"whole"`
+		Hosts []Host `json:"hosts"`
+	}{Seq: d.seq, Whole: from < 0}
+	if from < 0 {
+		for _, h := range d.hosts {
+			msg.Hosts = append(msg.Hosts, h)
+		}
+	}
+	for _, c := range d.since(max(from, 0)) {
+		if from >= 0 {
+			msg.Hosts = append(msg.Hosts, c.host)
+		}
+	}
+	body, _ := json.Marshal(msg)
+	return body
+}
--- /dev/null
+++ b/internal/standin/process.go
@@ -0,0 +1,140 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is a balancer that runs as a process of its own, so that its limits are real.
+type Process struct {
+	Addr string
+	cmd  *exec.Cmd
+	log  log
+	over chan struct{}
+	err  error
+}
+
+// log keeps the end of what the process has written.
+type log struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (l *log) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.buf.Len() > 1<<20 {
+		l.buf.Next(l.buf.Len() / 2)
+	}
+	return l.buf.Write(b)
+}
+
+// Start runs binary serve with args until the world ends, with so many descriptors at most (0: as many as this process
+// may have), and returns once it answers PING.
+func (w *World) Start(binary, config, addr string, descriptors int, args ...string) (*Process, error) {
+	line := `exec "$0" "$@"`
+	if descriptors > 0 {
+		line = "ulimit -n " + strconv.Itoa(descriptors) + "; " + line
+	}
+	p := &Process{Addr: addr, over: make(chan struct{})}
+	p.cmd = exec.Command("/bin/sh", append([]string{"-c", line, binary, "serve", "--config", config}, args...)...)
+	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	w.OnClose(func() { p.Kill() })
+	w.Go(func() { p.err = p.cmd.Wait(); close(p.over) })
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		if ping(addr) {
+			return p, nil
+		}
+		select {
+		case <-p.over:
+			return nil, fmt.Errorf("it ended: %w\n%s", errors.Join(p.err, errors.New("no PONG")), p.Log())
+		case <-time.After(10 * time.Millisecond):
+		}
+	}
+	return nil, fmt.Errorf("no PONG within 10 s\n%s", p.Log())
+}
+
+func ping(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(c, "PING\r\n")
+	line, _ := bufio.NewReader(c).ReadString('\n')
+	return line == "PONG\r\n"
+}
+
+// Log is what the process has written so far.
+func (p *Process) Log() string {
+	p.log.mu.Lock()
+	defer p.log.mu.Unlock()
+	return p.log.buf.String()
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// Kill ends it at once.
+func (p *Process) Kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.over
+}
+
+// Over tells, once it has ended, how.
+func (p *Process) Over(wait time.Duration) error {
+	select {
+	case <-p.over:
+		return p.err
+	case <-time.After(wait):
+		return errors.New("still running")
+	}
+}
+
+// Descriptors is how many the process holds now.
+func (p *Process) Descriptors() int {
+	list, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	return len(list)
+}
+
+// ResidentKB is the memory that the process holds now, and the most that it has held.
+func (p *Process) ResidentKB() (now, most int) {
+	body, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for _, line := range strings.Split(string(body), "\n") {
+		if f := strings.Fields(line); len(f) > 1 {
+			switch n, _ := strconv.Atoi(f[1]); f[0] {
+			case "VmRSS:":
+				now = n
+			case "VmHWM:":
+				most = n
+			}
+		}
+	}
+	return now, most
+}
+
+// CPU is the processor time that the process has used.
+func (p *Process) CPU() time.Duration {
+	body, _ := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	f := strings.Fields(string(body[max(0, bytes.LastIndexByte(body, ')')):]))
+	if len(f) < 14 {
+		return 0
+	}
+	user, _ := strconv.Atoi(f[12])
+	system, _ := strconv.Atoi(f[13])
+	return time.Duration(user+system) * 10 * time.Millisecond
+}
--- /dev/null
+++ b/internal/standin/region.go
@@ -0,0 +1,217 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"oatloft/internal/rules"
+)
+
+// Fault is what a region does wrong, or at all unlike an idle one.
+type Fault int32
+
+// The faults. They hold for connections that come while they are set; probes are answered in all but Vanished,
+// Stalled and Reset.
+const (
+	None     Fault = iota
+	Busy           // turns every request away
+	Erring         // answers ERR
+	Reset          // resets after the first line
+	Stalled        // takes the line and says nothing
+	Half           // answers half a line and ends
+	Lying          // reports no load, whatever it holds
+	NoProbes       // answers NO to probes
+)
+
+// Region is one server.
+type Region struct {
+	Name, Addr string
+
+	w        *World
+	listener net.Listener
+	fault    atomic.Int32
+	load     atomic.Int64 // what x0 is reported as, in thousandths, for each connection it holds 5 more
+	delay    atomic.Int64 // before UP
+	open     atomic.Int64
+	took     atomic.Int64
+	probes   atomic.Int64
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	gone     bool
+	receipts int
+}
+
+// Set has the region do something wrong from now on.
+func (r *Region) Set(f Fault) { r.fault.Store(int32(f)) }
+
+// SetLoad sets x0, the load asked over what it can do, without any connection.
+func (r *Region) SetLoad(x0 float64) { r.load.Store(int64(x0 * 1000)) }
+
+// SetDelay sets how long it takes until UP.
+func (r *Region) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+
+// Open is how many connections it holds, Took how many requests came, Probes how many probes.
+func (r *Region) Open() int64 { return r.open.Load() }
+
+// Took is how many requests came.
+func (r *Region) Took() int64 { return r.took.Load() }
+
+// Probes is how many probes came.
+func (r *Region) Probes() int64 { return r.probes.Load() }
+
+// Vanish ends the region: its connections are reset and new ones refused.
+func (r *Region) Vanish() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.gone = true
+	for c := range r.conns {
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// SendAway moves all its terminals, as a draining server does.
+func (r *Region) SendAway() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for c := range r.conns {
+		_, _ = c.Write([]byte("MOVE\r\n"))
+		if t, ok := c.(*net.TCPConn); ok {
+			_ = t.CloseWrite()
+		}
+	}
+}
+
+func (r *Region) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		if r.gone {
+			r.mu.Unlock()
+			_ = c.Close()
+			continue
+		}
+		r.conns[c] = true
+		r.mu.Unlock()
+		r.w.Go(func() {
+			r.serve(c)
+			_ = c.Close()
+			r.mu.Lock()
+			delete(r.conns, c)
+			r.mu.Unlock()
+		})
+	}
+}
+
+// serve answers probes until the first line of a request comes.
+func (r *Region) serve(c net.Conn) {
+	in := bufio.NewReaderSize(c, 4096)
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		line = strings.TrimRight(line, "\r\n")
+		f := Fault(r.fault.Load())
+		if strings.HasPrefix(line, "OPEN ") {
+			r.request(c, in, line, f)
+			return
+		}
+		r.probes.Add(1)
+		switch {
+		case f == Reset:
+			reset(c)
+			return
+		case f == Stalled:
+		case f == NoProbes || line != "STATS" && line != "PING":
+			fmt.Fprint(c, "NO\r\n")
+		case line == "PING":
+			fmt.Fprint(c, "PONG\r\n")
+		default:
+			n := r.open.Load()
+			x0 := float64(r.load.Load()+5*n) / 1000
+			if f == Lying {
+				n, x0 = 0, 0
+			}
+			fmt.Fprintf(c, "PONG latency_ms=1.5,inflight=%d,x0=%.3f\r\n", n, x0)
+		}
+	}
+}
+
+func (r *Region) request(c net.Conn, in *bufio.Reader, line string, f Fault) {
+	words := strings.Split(line, " ")
+	if len(words) != 4 {
+		fmt.Fprint(c, "SYNTAX\r\n")
+		return
+	}
+	id := words[1]
+	r.took.Add(1)
+	r.w.Saw(rules.Routed, id, r.Name, "")
+	defer r.w.Saw(rules.RoutedEnded, id, r.Name, "")
+	switch f {
+	case Busy:
+		fmt.Fprint(c, "BUSY\r\n")
+		return
+	case Erring:
+		fmt.Fprint(c, "ERR\r\n")
+		return
+	case Reset:
+		reset(c)
+		return
+	case Half:
+		fmt.Fprint(c, "UP hal")
+		return
+	case Stalled:
+		_, _ = in.ReadByte() // until the balancer ends it
+		return
+	}
+	if d := time.Duration(r.delay.Load()); d > 0 {
+		_ = c.SetReadDeadline(time.Now().Add(d))
+		if _, err := in.Peek(1); err != nil {
+			if e, ok := err.(net.Error); !ok || !e.Timeout() {
+				return
+			}
+		}
+		_ = c.SetReadDeadline(time.Time{})
+	}
+	r.mu.Lock()
+	r.receipts++
+	receipt := fmt.Sprintf("%s-%d", r.Name, r.receipts)
+	r.mu.Unlock()
+	r.w.Saw(rules.Receipt, id, r.Name, receipt)
+	r.open.Add(1)
+	defer r.open.Add(-1)
+	if _, err := fmt.Fprintf(c, "UP %s\r\n", receipt); err != nil {
+		return
+	}
+	buf := make([]byte, 4096)
+	for {
+		n, err := in.Read(buf)
+		if n > 0 {
+			if _, err := c.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetLinger(0)
+	}
+	_ = c.Close()
+}
--- /dev/null
+++ b/internal/standin/terminal.go
@@ -0,0 +1,155 @@
+package standin
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"oatloft/internal/rules"
+)
+
+// Terminal is one client connection.
+type Terminal struct {
+	ID   string
+	w    *World
+	conn *net.TCPConn
+	in   *bufio.Reader
+	done bool
+	sent int
+}
+
+var ids atomic.Int64
+
+// Ask is what a terminal wants.
+type Ask struct {
+	Key, Class, Tenant string
+	Wait               time.Duration // how long it waits for its answer; 2 s if 0
+	More               string        // further fields, ",r=1"
+}
+
+// Line is the first line of a transaction.
+func (a Ask) Line(id string) string {
+	if a.Class == "" {
+		a.Class = "chat"
+	}
+	if a.Tenant == "" {
+		a.Tenant = "acme"
+	}
+	if a.Wait == 0 {
+		a.Wait = 2 * time.Second
+	}
+	return fmt.Sprintf("OPEN %s %s c=%s,t=%s,d=%d%s\r\n", id, a.Key, a.Class, a.Tenant, a.Wait.Milliseconds(), a.More)
+}
+
+// Connect opens a terminal's connection from one address to another.
+func (w *World) Connect(from, to string) (*Terminal, error) {
+	d := net.Dialer{Timeout: 5 * time.Second}
+	if from != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
+	}
+	c, err := d.Dial("tcp", to)
+	if err != nil {
+		return nil, err
+	}
+	return &Terminal{ID: fmt.Sprintf("%x-%x", os.Getpid(), ids.Add(1)), w: w, conn: c.(*net.TCPConn), in: bufio.NewReaderSize(c, 4096)}, nil
+}
+
+// Answer is how a transaction was answered: "UP", "BUSY", "ERR", "reset" (the connection broke), "end" (it ended
+// without a word) or "none" (nothing came while the terminal waited).
+type Answer struct {
+	What string
+	Line string        // as it came
+	Took time.Duration // from the first line's last byte
+}
+
+// Open sends the first line and waits for the answer.
+func (t *Terminal) Open(a Ask) Answer {
+	if a.Wait == 0 {
+		a.Wait = 2 * time.Second
+	}
+	began := time.Now()
+	if _, err := io.WriteString(t.conn, a.Line(t.ID)); err != nil {
+		// It may have been refused before it spoke: what it was told is still there to be read.
+		return t.answer(began, a.Wait)
+	}
+	t.w.Saw(rules.Asked, t.ID, "", "")
+	return t.answer(began, a.Wait)
+}
+
+func (t *Terminal) answer(began time.Time, wait time.Duration) Answer {
+	_ = t.conn.SetReadDeadline(began.Add(wait + 50*time.Millisecond)) // the rules' limits on sockets are that much longer
+	line, err := t.in.ReadString('\n')
+	a := Answer{Line: strings.TrimRight(line, "\r\n"), Took: time.Since(began)}
+	_ = t.conn.SetReadDeadline(time.Time{})
+	switch {
+	case err == nil:
+		a.What, _, _ = strings.Cut(a.Line, " ")
+		t.w.Saw(rules.Answered, t.ID, "", a.Line)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		a.What = "none"
+	case errors.Is(err, io.EOF):
+		a.What = "end"
+	default:
+		a.What = "reset"
+	}
+	if err != nil {
+		t.w.Saw(rules.Unanswered, t.ID, "", a.What)
+	}
+	return a
+}
+
+// Listen waits for an answer without asking for anything.
+func (t *Terminal) Listen(wait time.Duration) Answer { return t.answer(time.Now(), wait) }
+
+// Echo sends a numbered line and waits until it has come back. A MOVE is an error of its own.
+func (t *Terminal) Echo(wait time.Duration) error {
+	t.sent++
+	text := fmt.Sprintf("%s line %d", t.ID, t.sent)
+	t.w.Saw(rules.Sent, t.ID, "", text)
+	if _, err := io.WriteString(t.conn, text+"\r\n"); err != nil {
+		return err
+	}
+	_ = t.conn.SetReadDeadline(time.Now().Add(wait))
+	line, err := t.in.ReadString('\n')
+	if err != nil {
+		return err
+	}
+	if line = strings.TrimRight(line, "\r\n"); line == "MOVE" {
+		return ErrMoved
+	}
+	t.w.Saw(rules.Returned, t.ID, "", line)
+	return nil
+}
+
+// ErrMoved tells that the terminal was told to come again.
+var ErrMoved = errors.New("moved")
+
+// Say sends bytes as they are.
+func (t *Terminal) Say(text string) error {
+	_, err := io.WriteString(t.conn, text)
+	return err
+}
+
+// Close ends the connection in order, Break with a reset.
+func (t *Terminal) Close() { t.end(false) }
+
+// Break ends the connection with a reset, which leaves no port behind.
+func (t *Terminal) Break() { t.end(true) }
+
+func (t *Terminal) end(hard bool) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.w.Saw(rules.Left, t.ID, "", "")
+	if hard {
+		_ = t.conn.SetLinger(0)
+	}
+	_ = t.conn.Close()
+}
