Cause the hard cases of admission in tests; close the door once nothing is owed

The hard cases are now caused on loopback against the program as a process: one noisy address of each kind, 250 that behave as one while 55 % of known clients reconnect, a burst at 256, 512 and 1,024 descriptors, a process that runs out before its limit, a limit lowered by reload, SIGTERM in a flood, known clients across a restart and a damaged file. The rule checker judges all of them. SIGTERM in a flood showed that terminals that came after the last answer was given were picked up and lost with the process (16 owed at the end): they are now told to come again and the listener closes.

--- a/cmd/oatlab/admission.go
+++ b/cmd/oatlab/admission.go
@@ -166,7 +166,7 @@
 	if on {
 		args, state = append(args, "--edge", edge), "on"
 	}
-	p, err := w.Start(a.Balancer, config, addr, descriptors, args...)
+	p, err := w.Start(standin.Launch{Binary: a.Balancer, Config: config, Addr: addr, Descriptors: descriptors, Args: args})
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/cmd/oatloft/admission_test.go
@@ -0,0 +1,334 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"oatloft/internal/rules"
+	"oatloft/internal/standin"
+)
+
+// The test's own program is the balancer too: descriptors are a process's.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "serve" {
+		main()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+const edgeJSON = `{"oatloft_edge":1,"source":"test","admission":{
+ "address":{"max_connections":16,"max_silent":8,"new_per_second":10,"burst":20,"max_bytes":"16KiB","short_patience":"500ms","ipv6_prefix":64,"table":4096,"exempt":[]},
+ "network":{"ipv4_prefix":24,"ipv6_prefix":48,"new_per_second":1000,"burst":1000,"max_share":0.5,"table":1024},
+ "reserve":{"identity":"flow","known_share":0.5,"stand_for":"200ms","remember_for":"30m","max":4096,"max_per_network":64,"max_per_client":2,"mute_for":"1m",
+  "snapshot":{"path":"$known","every":"1s","max_age":"30m"}},
+ "descriptors":{"silent_share":0.2,"overhead":16,"good_byes":16,"tight":0.75,"short":0.9,"full":0.98,"hysteresis":0.15},
+ "memory":{"base":"16MiB","silent":"8KiB","transaction":"32KiB","max_share":0.8},
+ "come_back":{"advise":true,"per_second":50,"least":"200ms","most":"2s"}}}`
+
+// rig is a balancer with admission in a world of its own.
+type rig struct {
+	*standin.World
+	t            *testing.T
+	dir          string
+	edge, config string
+	p            *standin.Process
+	launch       standin.Launch
+	options      standin.Options
+}
+
+func newRig(t *testing.T, o standin.Options, l standin.Launch, edge ...string) *rig {
+	t.Helper()
+	w, err := standin.New(4)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &rig{World: w, t: t, dir: t.TempDir(), options: o}
+	t.Cleanup(func() {
+		if t.Failed() && r.p != nil {
+			t.Log(r.p.Log())
+		}
+		w.Close()
+	})
+	r.edge = filepath.Join(r.dir, "edge.json")
+	r.write(r.edge, strings.NewReplacer(append(edge, "$known", "")...).Replace(edgeJSON))
+	var addr string
+	if r.config, addr, err = w.WriteConfig(r.dir, "n1", "127.8.3.1", o); err != nil {
+		t.Fatal(err)
+	}
+	l.Binary, l.Config, l.Addr, l.Args = os.Args[0], r.config, addr, []string{"--edge", r.edge}
+	r.launch = l
+	r.start()
+	return r
+}
+
+func (r *rig) start() {
+	r.t.Helper()
+	var err error
+	if r.p, err = r.Start(r.launch); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+func (r *rig) write(path, text string) {
+	r.t.Helper()
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// until waits for a condition.
+func (r *rig) until(what string, ok func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			r.t.Fatal("in vain:", what)
+		}
+	}
+}
+
+// stand has n terminals stand, each from an address and with a key of its own.
+func (r *rig) stand(n int, name string) (list []*standin.Terminal) {
+	r.t.Helper()
+	for i := range n {
+		t, err := r.Connect(fmt.Sprintf("127.30.%d.%d", i/8, i%8+1), r.p.Addr)
+		if err != nil {
+			r.t.Fatal(err)
+		}
+		if a := t.Open(standin.Ask{Key: fmt.Sprint(name, i)}); a.What != "UP" {
+			r.t.Fatalf("terminal %d: %+v", i, a)
+		}
+		list = append(list, t)
+	}
+	return list
+}
+
+func (r *rig) echo(list []*standin.Terminal) {
+	r.t.Helper()
+	for i, t := range list {
+		if err := t.Echo(3 * time.Second); err != nil {
+			r.t.Fatalf("standing terminal %d: %v", i, err)
+		}
+	}
+}
+
+// burst has n terminals ask at once and returns how often each answer came.
+func (r *rig) burst(n int, from func(i int) string, key string) map[string]int {
+	by := map[string]int{}
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	for i := range n {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			what := "no connection"
+			if t, err := r.Connect(from(i), r.p.Addr); err == nil {
+				defer t.Break()
+				what = t.Open(standin.Ask{Key: fmt.Sprint(key, i)}).What
+			}
+			mu.Lock()
+			by[what]++
+			mu.Unlock()
+		}()
+	}
+	wait.Wait()
+	return by
+}
+
+func (r *rig) sound() {
+	r.t.Helper()
+	if v := r.Violations(); v != "" {
+		r.t.Error(v)
+	}
+	if r.Checker.Count(rules.Asked) == 0 || r.Checker.Count(rules.Routed) == 0 {
+		r.t.Error("the checker saw nothing")
+	}
+}
+
+// One address, thousands of connections, each kind of noise: others are served, and what is answered is a line.
+func TestOneNoisyAddress(t *testing.T) {
+	for _, kind := range []standin.Noise{standin.OpenClose, standin.OpenSilent, standin.OpenKeep, standin.OpenAsk, standin.OpenBytes} {
+		t.Run(string(kind), func(t *testing.T) {
+			r := newRig(t, standin.Options{Sockets: 256, MemoryMB: 64}, standin.Launch{Descriptors: 256})
+			f := r.Flood(kind, 8, func(int) string { return "127.66.0.66" }, r.p.Addr)
+			r.until("a flood", func() bool { return f.Opened.Load() > 1000 })
+			g := r.Serve(standin.Customers(60), 30, 300*time.Millisecond, r.p.Addr)
+			f.Stop()
+			if g.Served != g.Asked || g.Cut > 0 {
+				t.Errorf("%d of %d served, %v, %d cut", g.Served, g.Asked, g.By, g.Cut)
+			}
+			if kind == standin.OpenKeep && f.Got.Load() > 16+8 { // what it held at once; a loop gives none back
+				t.Errorf("the noisy address got %d", f.Got.Load())
+			}
+			r.sound()
+		})
+	}
+}
+
+// 250 addresses that behave as one, while 55 % of all known clients reconnect within 0.8 s: those come first.
+func TestKnownClientsReconnectInAFlood(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 512, MemoryMB: 64, Advice: true}, standin.Launch{Descriptors: 512})
+	customers := standin.Customers(100)
+	if g := r.Serve(customers, 100, 500*time.Millisecond, r.p.Addr); g.Served != 100 {
+		t.Fatal(g.By)
+	}
+	f := r.Flood(standin.OpenKeep, 16, func(i int) string { return fmt.Sprintf("127.66.%d.%d", i%10, i%250/10+1) }, r.p.Addr)
+	r.until("strangers at their bound", func() bool { return f.Refused.Load() > 200 })
+	back := customers[:55]
+	g := r.Serve(back, 55/0.8, 2*time.Second, r.p.Addr)
+	f.Stop()
+	if g.Served != len(back) || g.Cut > 0 {
+		t.Errorf("%d of %d known clients served, %v, %d cut", g.Served, len(back), g.By, g.Cut)
+	}
+	r.sound()
+}
+
+// The limit is reached in the middle of a burst: each that asks gets one line, those who stand stay.
+func TestLimitInABurst(t *testing.T) {
+	for _, n := range []int{256, 512, 1024} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r := newRig(t, standin.Options{Sockets: n, MemoryMB: 64}, standin.Launch{Descriptors: n})
+			standing := r.stand(20, "early")
+			by := r.burst(n, func(i int) string { return fmt.Sprintf("127.40.%d.%d", i/8, i%8+1) }, "burst")
+			if by["UP"] == 0 || by["BUSY"] == 0 || by["UP"]+by["BUSY"]+by["ERR"] != n {
+				t.Error(by)
+			}
+			if held := r.p.Descriptors(); held > n {
+				t.Error(held, "descriptors")
+			}
+			r.echo(standing)
+			r.sound()
+		})
+	}
+}
+
+// The process runs out of descriptors long before the limit that it was told: somebody else holds most of them.
+// Dialing fails for transactions that were picked up; still each gets one line, and once there is room again
+// newcomers are served.
+func TestExhaustionBeforeTheLimit(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 512, MemoryMB: 64}, standin.Launch{Descriptors: 512, Inherited: 400})
+	standing := r.stand(10, "early")
+	by := r.burst(200, func(i int) string { return fmt.Sprintf("127.40.%d.%d", i/8, i%8+1) }, "burst")
+	if by["BUSY"] == 0 || by["UP"]+by["BUSY"]+by["ERR"] != 200 {
+		t.Error(by)
+	}
+	r.echo(standing)
+	if !strings.Contains(r.p.Log(), "no descriptor left") {
+		t.Error("it never ran out")
+	}
+	n := 0
+	r.until("served again", func() bool {
+		n++
+		c, err := r.Connect(fmt.Sprintf("127.41.%d.%d", n/8%250, n%8+1), r.p.Addr)
+		if err != nil {
+			return false
+		}
+		defer c.Break()
+		return c.Open(standin.Ask{Key: "late"}).What == "UP"
+	})
+	r.sound()
+}
+
+// The limit falls below what is in use by a reload: who stands stays, newcomers are refused until it rises again.
+// A file of settings that can't work changes nothing, nor does one that switches admission off.
+func TestReloadLowersTheLimit(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 512, MemoryMB: 64}, standin.Launch{Descriptors: 512})
+	standing := r.stand(60, "early")
+	reload := func(line string, times int) {
+		t.Helper()
+		r.p.Signal(syscall.SIGHUP)
+		r.until(line, func() bool { return strings.Count(r.p.Log(), line) >= times })
+	}
+	config := func(sockets int) {
+		r.options.Sockets = sockets
+		r.write(r.config, string(r.Config("n1", r.launch.Addr, r.options)))
+	}
+	ask := func() string {
+		t.Helper()
+		c, err := r.Connect("127.41.0.1", r.p.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		return c.Open(standin.Ask{Key: "late"}).What
+	}
+	config(128)
+	reload("msg=reloaded", 1)
+	if got := ask(); got != "BUSY" {
+		t.Error("below what is in use:", got)
+	}
+	r.echo(standing)
+	good, _ := os.ReadFile(r.edge)
+	config(512)
+	r.write(r.edge, strings.Replace(string(good), `"max_silent":8`, `"max_silent":0`, 1))
+	reload("admission.address.max_silent: out of bounds", 1)
+	if got := ask(); got != "BUSY" {
+		t.Error("half of a reload was taken:", got)
+	}
+	r.write(r.edge, `{"oatloft_edge":1,"source":"test","admission":null}`)
+	reload("can't be switched on or off", 1)
+	r.write(r.edge, string(good))
+	reload("msg=reloaded", 2)
+	r.until("room", func() bool { return ask() == "UP" })
+	r.echo(standing)
+	r.sound()
+}
+
+// SIGTERM in a flood: every answer that is owed is given, and the program leaves.
+func TestLeaveInAFlood(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 256, MemoryMB: 64}, standin.Launch{Descriptors: 256})
+	for _, region := range r.Regions {
+		region.SetDelay(200 * time.Millisecond) // there is something owed at any time
+	}
+	f := r.Flood(standin.OpenAsk, 16, func(i int) string { return fmt.Sprintf("127.66.%d.%d", i%10, i%250/10+1) }, r.p.Addr)
+	r.until("a flood", func() bool { return f.Got.Load() > 20 })
+	r.p.Signal(syscall.SIGTERM)
+	time.Sleep(400 * time.Millisecond) // so long the platform's front sends new ones
+	f.Stop()
+	if err := r.p.Over(10 * time.Second); err != nil {
+		t.Error(err)
+	}
+	r.sound()
+}
+
+// Who is known stays known across a restart; a damaged file is a line, and the balancer starts empty.
+func TestKnownAcrossARestart(t *testing.T) {
+	known := filepath.Join(t.TempDir(), "known")
+	r := newRig(t, standin.Options{Sockets: 256, MemoryMB: 64}, standin.Launch{Descriptors: 256}, "$known", known)
+	if g := r.Serve(standin.Customers(20), 100, 500*time.Millisecond, r.p.Addr); g.Served != 20 {
+		t.Fatal(g.By)
+	}
+	again := func(want string) {
+		t.Helper()
+		r.p.Signal(syscall.SIGTERM)
+		if err := r.p.Over(10 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+		r.start()
+		if !strings.Contains(r.p.Log(), want) {
+			t.Errorf("no %q in\n%s", want, r.p.Log())
+		}
+	}
+	again(`msg="known clients restored" clients=20 of=20`)
+	r.p.Kill()
+	body, err := os.ReadFile(known)
+	if err != nil {
+		t.Fatal(err)
+	}
+	body[100] ^= 1
+	r.write(known, string(body))
+	r.start()
+	if !strings.Contains(r.p.Log(), "known clients not restored") || !strings.Contains(r.p.Log(), "the checksum doesn't fit") {
+		t.Error(r.p.Log())
+	}
+	if g := r.Serve(standin.Customers(5), 100, 100*time.Millisecond, r.p.Addr); g.Served != 5 {
+		t.Error(g.By)
+	}
+	r.sound()
+}
--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -356,7 +356,7 @@
 	}
 	x.tenant = g.tenants[who.Tenant]
 	if r := g.judge(x); r != Admitted {
-		if x.rank == Stranger && !x.exempt && r != NoMemory && r != NoDescriptor {
+		if x.rank != Known && !x.exempt && r != NoMemory && r != NoDescriptor {
 			// Whoever asks on and on for what there is not costs more than who is turned away at the door.
 			g.peers.charge(x.peer, g.now, g.cfg.Address.NewPerSecond, g.cfg.Address.Burst)
 		}
--- a/internal/net/door.go
+++ b/internal/net/door.go
@@ -25,7 +25,7 @@
 )
 
 const (
-	refusals    = 16                     // in one turn of the accepting goroutine
+	refusals    = 8                      // in one turn of the accepting goroutine
 	refusalRest = 50 * time.Microsecond  // in which the runtime looks at the network
 	spares      = 2                      // given up when the process has no descriptor left: one to answer, one to hand over
 	goodByeWait = 250 * time.Millisecond // for a refused terminal to read its answer and end
@@ -223,13 +223,18 @@
 func (d *door) goodBye(fd int, from netip.Addr, v admission.Verdict) {
 	d.said.Say(time.Now(), slog.LevelInfo, v.Reason.String(), "refused", slog.Any("from", from), slog.Duration("after", v.After))
 	var line [32]byte
-	_, _ = syscall.Write(fd, platform.AppendShort(line[:0], v.After)) // a fresh socket takes it at once
 	var junk [4096]byte
 	for range goodByeMost / len(junk) {
-		if n, err := syscall.Read(fd, junk[:]); n <= 0 || err != nil {
+		n, err := syscall.Read(fd, junk[:])
+		if errors.Is(err, syscall.ECONNRESET) { // it is gone already
+			_ = syscall.Close(fd)
+			return
+		}
+		if n <= 0 || err != nil {
 			break
 		}
 	}
+	_, _ = syscall.Write(fd, platform.AppendShort(line[:0], v.After)) // a fresh socket takes it at once
 	if v.Curt || d.cfg.GoodByes == 0 {
 		_ = syscall.Close(fd)
 		return
--- a/internal/net/effects.go
+++ b/internal/net/effects.go
@@ -130,5 +130,6 @@
 		drop(&s.watch)
 	case core.Exit:
 		s.exit = true
+		_ = s.listener.Close() // nobody is owed anything now, and nobody more is to be picked up
 	}
 }
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -23,15 +23,20 @@
 // listen opens the listener that nbio accepts from.
 func (s *Server) listen(network, addr string) (stdnet.Listener, error) {
 	l, err := stdnet.Listen(network, addr)
-	if err != nil || s.door == nil {
-		return gate{Listener: l, s: s}, err
+	if err != nil {
+		return nil, err
+	}
+	if s.door == nil {
+		s.listener = gate{Listener: l, s: s}
+		return s.listener, nil
 	}
 	f, err := l.(*stdnet.TCPListener).File()
 	if err != nil {
 		_ = l.Close()
 		return nil, err
 	}
-	return gate{l, s, f}, nil
+	s.listener = gate{l, s, f}
+	return s.listener, nil
 }
 
 // Close ends the accepting as well.
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -10,6 +10,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	stdnet "net"
 	"runtime"
 	"runtime/debug"
 	"runtime/metrics"
@@ -43,6 +44,7 @@
 type Server struct {
 	cfg       Config
 	engine    *nbio.Engine
+	listener  stdnet.Listener
 	queue     queue
 	core      *core.Reducer
 	sockets   atomic.Int64 // connections, and dials under way
--- a/internal/net/terminals.go
+++ b/internal/net/terminals.go
@@ -113,6 +113,10 @@
 		t.begun, t.asked = nil, true
 		open.Keep()
 		t.open = open
+		if s.exit { // the reducer has closed its books: whoever came in since is told to come again
+			s.turnAway(t, admission.Verdict{Reason: admission.NoDescriptor})
+			return
+		}
 		if v := s.mayTake(t); !v.OK() {
 			s.turnAway(t, v)
 			return
