--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"runtime"
 	"strconv"
 	"strings"
 	"testing"
@@ -350,3 +351,39 @@
 	}, 1024)
 	run("no-descriptors", func(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, byte(i >> 4), byte(i), 1}) }, 10)
 }
+
+// BenchmarkMemory fills every table as deploy/edge.cue has them and reports what they hold.
+func BenchmarkMemory(b *testing.B) {
+	cfg := small()
+	cfg.Address.Table, cfg.Network.Table, cfg.Reserve.Max, cfg.Reserve.MaxPerNetwork = 4096, 1024, 4096, 64
+	var before, after runtime.MemStats
+	for b.Loop() {
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		g, _ := New(cfg, 1)
+		g.Limit(1024, 0)
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-empty")
+		now := time.Second
+		for i := range 20000 {
+			addr := netip.AddrFrom4([4]byte{10, byte(i >> 12), byte(i >> 4), byte(i)})
+			if tk, v := g.Accept(now, addr); v.OK() && i%2 == 0 {
+				g.Request(now, tk, Who{Key: fmt.Sprint(i)})
+				g.Stood(now, tk)
+				now += cfg.Reserve.StandFor / 100
+				g.tickets[tk.place()].stood = now - cfg.Reserve.StandFor
+				g.Closed(now, tk)
+			} else {
+				g.Closed(now, tk)
+			}
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-full")
+		b.ReportMetric(float64(len(g.known.index)), "known")
+		b.ReportMetric(float64(len(g.peers.index)), "addresses")
+		b.ReportMetric(float64(len(g.nets.index)), "networks")
+		runtime.KeepAlive(g)
+	}
+}
