--- a/cmd/oatloft/admission_test.go
+++ b/cmd/oatloft/admission_test.go
@@ -51,7 +51,10 @@
 	}
 	r := &rig{World: w, t: t, dir: t.TempDir(), options: o}
 	t.Cleanup(func() {
-		if t.Failed() && r.p != nil {
+		if strings.Contains(r.p.Log(), "DATA RACE") || strings.Contains(r.p.Log(), "panic:") {
+			t.Error("the balancer's own log tells of a fault")
+		}
+		if t.Failed() {
 			t.Log(r.p.Log())
 		}
 		w.Close()
@@ -235,6 +238,38 @@
 	r.sound()
 }
 
+// A transaction is picked up, and then the process has no descriptor for its routed task, though the ledger had set
+// one aside. A silent terminal makes room, and the dial, which waits for that, succeeds.
+func TestDialWaitsForADescriptor(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 512, MemoryMB: 64}, standin.Launch{Descriptors: 512, Inherited: 400})
+	var silent []*standin.Terminal
+	time.Sleep(50 * time.Millisecond) // the first PING's connection is closed by then
+	// One after the other, up to what accepting needs in passing.
+	for n, had := 0, r.p.Descriptors(); had < 508; n, had = n+1, had+1 {
+		c, err := r.Connect(fmt.Sprintf("127.40.%d.%d", n/8, n%8+1), r.p.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		silent = append(silent, c)
+		r.until("taken in", func() bool { return r.p.Descriptors() > had })
+	}
+	var wait sync.WaitGroup
+	for _, c := range silent[len(silent)-12:] { // more dials at once than there are descriptors
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			if a := c.Open(standin.Ask{Key: c.ID}); a.What != "UP" && a.What != "BUSY" {
+				t.Error(a)
+			}
+		}()
+	}
+	wait.Wait()
+	if !strings.Contains(r.p.Log(), "a dial waits") {
+		t.Error("no dial had to wait")
+	}
+	r.sound()
+}
+
 // The limit falls below what is in use by a reload: who stands stays, newcomers are refused until it rises again.
 // A file of settings that can't work changes nothing, nor does one that switches admission off.
 func TestReloadLowersTheLimit(t *testing.T) {
--- a/internal/net/tasks.go
+++ b/internal/net/tasks.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"log/slog"
 	stdnet "net"
 	"time"
 
@@ -132,6 +133,7 @@
 // freed. It is false when the dialing's own time is over.
 func (s *Server) wait(ctx context.Context) bool {
 	s.door.starved(false)
+	s.said.Say(time.Now(), slog.LevelWarn, "dial", "a dial waits for a descriptor")
 	select {
 	case <-ctx.Done():
 		return false
