Keep the accept loop from spinning on a listener that was closed

nbio's accept loop does not end with its listener: since the door closes when nothing is owed any more, it would have asked at full speed for up to half a second, on the one processor that the last answers need.

--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -47,7 +47,17 @@
 	return g.Listener.Close()
 }
 
+// Accept returns the next terminal. nbio's accept loop doesn't end with its listener, but asks on without a pause: while
+// the last answers leave, it would take the processor from them.
 func (g gate) Accept() (stdnet.Conn, error) {
+	c, err := g.next()
+	if errors.Is(err, stdnet.ErrClosed) {
+		time.Sleep(closedWait)
+	}
+	return c, err
+}
+
+func (g gate) next() (stdnet.Conn, error) {
 	if g.s.door != nil {
 		raw, err := g.file.SyscallConn()
 		if err != nil {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -35,6 +35,7 @@
 	checkEvery   = 250 * time.Millisecond // how often memory is looked at
 	readWait     = 5 * time.Second        // a link that ends waits so long for the other side to read on
 	gateWait     = 2 * time.Millisecond
+	closedWait   = 50 * time.Millisecond
 	endSooner    = 800 * time.Millisecond // so much less a link that ends has where descriptors run short
 	moreFiles    = 4096                   // nbio's table of connections is as much longer than the limit at the start
 	exitWait     = 500 * time.Millisecond // the last answers get this long to leave
