--- a/internal/apache/source.go
+++ b/internal/apache/source.go
@@ -1,8 +1,9 @@
-// Package apache reads what Apache installations write of their backends: mod_jk's workers.properties so far. It
-// owns the two published formats and the account of what became of each directive; it must never pass anything over
+// Package apache reads what Apache installations write of their backends: mod_jk's workers.properties and uriworkermap.properties,
+// and httpd's configuration. It owns the published formats and the account of what became of each directive; it must never pass anything over
 // without a row in that account, never guess at a value, and never read a file that it was not given.
 //
-// Formats: Apache Tomcat Connectors, reference guide of workers.properties (1.2.50).
+// Formats: Apache Tomcat Connectors 1.2.50, reference guides of workers.properties and uriworkermap.properties; Apache
+// HTTP Server 2.4, configuration files and core.
 package apache
 
 import (
