--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -172,6 +172,7 @@
 	holds   [3][]int  // transactions by rank and tenant
 	silent  crowd
 	victims []Victim
+	leaving int // silent terminals that were sent off and are not closed yet
 	swept   time.Duration
 	advised time.Duration // come-back times are dealt out up to here
 }
@@ -299,7 +300,10 @@
 	if g.ledger.outOfMemory() {
 		return g.refuse(NoMemory)
 	}
-	if g.ledger.over(1-slack) || !g.ledger.mayBeSilent(g.known.seenAt(n)) && !g.makeRoom(exempt, p) {
+	// Who makes room still holds its descriptor until it is closed. Strangers that come faster than that is done are
+	// refused: they would else use up, in passing, what is kept for networks of known clients.
+	known := g.known.seenAt(n)
+	if g.ledger.over(1-slack) || !known && g.leaving >= slack || !g.ledger.mayBeSilent(known) && !g.makeRoom(exempt, p) {
 		return g.refuse(NoDescriptor)
 	}
 	var i int32
@@ -467,6 +471,9 @@
 	}
 	g.answered(t, x)
 	g.ledger.move(Leaving, Free)
+	if x.victim {
+		g.leaving--
+	}
 	g.peers.hold(x.peer, -1)
 	g.nets.hold(x.net, -1)
 	*x = ticket{turn: x.turn}
@@ -553,6 +560,7 @@
 func (g *Gate) sendOff(i int32, why Reason) {
 	g.Counters.Refused[why]++
 	g.tickets[i].victim = true
+	g.leaving++
 	g.silent.remove(g, i)
 	g.victims = append(g.victims, Victim{g.name(i), g.advice()})
 }
