Test that nobody comes in once nothing is owed

The flood test stops its flood before the program leaves and may pass without the listener's closing, so nothing held that fix.

--- a/internal/net/listener_test.go
+++ b/internal/net/listener_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"errors"
+	"log/slog"
 	stdnet "net"
+	"oatloft/internal/core"
 	"testing"
 	"time"
 )
@@ -20,3 +22,19 @@
 type closedListener struct{ stdnet.Listener }
 
 func (closedListener) Accept() (stdnet.Conn, error) { return nil, stdnet.ErrClosed }
+
+// Once the reducer has closed its books, nobody more is taken in: a transaction that came then was lost with the process.
+func TestNobodyComesInAfterTheEnd(t *testing.T) {
+	s, err := New(start(t, "").server.cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Start(); err != nil {
+		t.Fatal(err)
+	}
+	s.carryOut(core.Exit{})
+	if c, err := stdnet.DialTimeout("tcp", s.Addr(), time.Second); err == nil {
+		_ = c.Close()
+		t.Fatal("taken in")
+	}
+}
