Answer operators' calls at a second address, and serve on an inherited listener

Excluded: the old process harming the queue; Go's listener is closed by close(2) alone, never shut down.

A call crosses to the loop between any two events. PROXY_FD is checked (number, socket, listening, address) and used; after SIGTERM such a listener is let go of at once, and the process leaves once it owes nothing and nobody silent is left. status is yes while terminals are taken.

--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -26,15 +26,21 @@
 }
 
 type source struct {
-	Config    string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
-	Name      string `help:"The balancer's name, in place of the configuration's." env:"PROXY_NAME"`
-	Listen    string `help:"Where terminals connect, host:port." env:"PROXY_LISTEN"`
-	Discovery string `help:"Discovery's host:port." env:"PROXY_DISCOVERY"`
-	Edge      string `help:"Our own settings, compiled by oatctl edge compile (JSON); none if not given." env:"PROXY_EDGE" type:"path"`
+	Config     string `help:"Configuration file (JSON)." env:"PROXY_CONFIG" required:"" type:"path"`
+	Name       string `help:"The balancer's name, in place of the configuration's." env:"PROXY_NAME"`
+	Listen     string `help:"Where terminals connect, host:port." env:"PROXY_LISTEN"`
+	Discovery  string `help:"Discovery's host:port." env:"PROXY_DISCOVERY"`
+	Management string `help:"Where operators call, host:port; nowhere if not given." env:"PROXY_MANAGEMENT"`
+	Inherited  string `name:"fd" help:"Descriptor of a listening socket held by the platform, taken in place of an own one." env:"PROXY_FD"`
+	Edge       string `help:"Our own settings, compiled by oatctl edge compile (JSON); none if not given." env:"PROXY_EDGE" type:"path"`
+}
+
+func (s source) beside() net.Beside {
+	return net.Beside{Name: s.Name, Listen: s.Listen, Discovery: s.Discovery, Management: s.Management, Inherited: s.Inherited}
 }
 
 func (s source) load() (net.Config, error) {
-	cfg, err := net.LoadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+	cfg, err := net.LoadConfig(s.Config, s.beside())
 	if err == nil {
 		err = s.edge(&cfg)
 	}
@@ -88,7 +94,7 @@
 	out := make(chan net.Config)
 	go func() {
 		for range again {
-			cfg, err := net.ReloadConfig(s.Config, s.Name, s.Listen, s.Discovery)
+			cfg, err := net.ReloadConfig(s.Config, s.beside())
 			if err == nil {
 				err = s.edge(&cfg)
 			}
@@ -121,6 +127,9 @@
 	if err != nil {
 		return err
 	}
+	if err := cfg.CheckAddresses(); err != nil {
+		return err
+	}
 	regions := 0
 	if cfg.Known != nil {
 		regions = len(cfg.Known.Regions)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,6 +34,7 @@
 	youngest    = 10 * time.Millisecond   // nobody is sent off sooner: the line may be on its way
 	endEarly    = 15 * time.Millisecond   // the final answer leaves so long before the terminal quits
 	leaveAfter  = 800 * time.Millisecond  // after SIGTERM new terminals still come for half of this
+	handedAfter = 300 * time.Millisecond  // ... or not at all, and the other process has read by then who stands where
 	leaveMost   = 3 * time.Second         // the end comes by force this long after SIGTERM, or after the longest ...
 	leaveMargin = 500 * time.Millisecond  // ... wait if that is less, and 700 ms: standing connections go on until then
 	watchSilent = 4 * time.Second         // a sound watch brings something every 2 s; news count as told after 6 s
@@ -144,8 +145,8 @@
 		Config
 		Moved bool
 	}
-	// Leave tells that the balancer is to go (SIGTERM).
-	Leave struct{}
+	// Leave tells that the balancer is to go (SIGTERM). Handed tells that another process takes what comes from now on.
+	Leave struct{ Handed bool }
 	// Tick lets the time pass.
 	Tick struct{}
 )
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -87,6 +87,7 @@
 	watchCalls int
 	owed       int // transactions without their final answer
 	leaving    bool
+	handed     bool // leaving, and another process takes what comes
 	leaveAt    time.Duration
 	leaveBy    time.Duration // connections that still stand are given up then
 }
@@ -119,6 +120,12 @@
 // Open is the number of transactions that are not over.
 func (r *Reducer) Open() int { return len(r.open) }
 
+// Leaving tells that the balancer is on its way out.
+func (r *Reducer) Leaving() bool { return r.leaving }
+
+// Listed tells that a list of regions has come, be it an old one.
+func (r *Reducer) Listed() bool { return r.listed }
+
 // Step takes one event and appends the effects it calls for.
 func (r *Reducer) Step(now time.Duration, ev Event, out []Effect) []Effect {
 	if r.now == 0 {
@@ -191,7 +198,10 @@
 		}
 	case Leave:
 		if !r.leaving {
-			r.leaving, r.leaveAt = true, r.now+leaveAfter
+			r.leaving, r.handed, r.leaveAt = true, ev.Handed, r.now+leaveAfter
+			if r.handed {
+				r.leaveAt = r.now + handedAfter
+			}
 			r.leaveBy = r.now + max(leaveAfter, min(leaveMost, r.cfg.LongestWait)+leaveMargin)
 			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
 			r.sendAllAway()
@@ -591,6 +601,7 @@
 
 func (r *Reducer) list(ev Listed) {
 	r.Counters.Lists++
+	r.listed = true
 	if ev.Former && ev.Kind == policy.ListDelta && ev.Seq <= r.seq {
 		return // the later watch has brought newer news already
 	}
@@ -682,7 +693,7 @@
 			r.watchEnded()
 		}
 	case leaveTimer: // while connections stand, others may not be ready to take them, and they are served here
-		if r.owed == 0 && (len(r.open) == 0 || r.now >= r.leaveBy) {
+		if r.owed == 0 && (r.nothingLeft() || r.now >= r.leaveBy) {
 			r.do(Exit{})
 			return
 		}
@@ -690,6 +701,15 @@
 	}
 }
 
+// nothingLeft tells that nobody needs this process any more. Where another one is there already, and packets pass
+// through, standing connections go on there; but whoever came here and has not spoken yet is served here.
+func (r *Reducer) nothingLeft() bool {
+	if r.handed {
+		return len(r.quiet) == 0 && (r.cfg.PassThrough || len(r.open) == 0)
+	}
+	return len(r.open) == 0
+}
+
 // lateResult tells how a routed task ends whose time is up: one that was never sent has not run.
 func (r *Reducer) lateResult(t *transaction) policy.Result {
 	if t.state == dialing {
--- /dev/null
+++ b/internal/management/calls.go
@@ -0,0 +1,121 @@
+// Package management is where the operators' staff call a balancer: one line a connection, one line back. This file
+// owns how a call and its answer look, without I/O; serve.go owns the callers' sockets. It must never know what a call
+// does: it hands a Call on and words what comes back.
+package management
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// MaxLine is how long a call may be, its end included.
+const MaxLine = 512
+
+// Word is what a call asks for.
+type Word uint8
+
+// The words.
+const (
+	Status Word = iota
+	MaintOn
+	MaintOff
+	Standby
+	Active
+)
+
+var words = []string{Status: "status", MaintOn: "maint-on", MaintOff: "maint-off", Standby: "standby", Active: "active"}
+
+func (w Word) String() string { return words[w] }
+
+// Call is one call. ID names a region where the word takes one.
+type Call struct {
+	Word Word
+	ID   string
+}
+
+// Answer is what a caller is told: yes or no, and a few words on it.
+type Answer struct {
+	OK   bool
+	Text string
+}
+
+// Yes and No make answers.
+func Yes(format string, args ...any) Answer { return Answer{true, fmt.Sprintf(format, args...)} }
+
+// No is the answer that a call changed nothing.
+func No(format string, args ...any) Answer { return Answer{false, fmt.Sprintf(format, args...)} }
+
+// Line is the answer as it goes to the caller.
+func (a Answer) Line() []byte {
+	sign := "-ERR"
+	if a.OK {
+		sign = "+OK"
+	}
+	text := strings.Map(func(c rune) rune { // one line, whatever an error says
+		if c < ' ' || c > '~' {
+			return ' '
+		}
+		return c
+	}, a.Text)
+	if text != "" {
+		sign += " "
+	}
+	return []byte(sign + text + "\r\n")
+}
+
+var (
+	errTooLong = fmt.Errorf("line longer than %d bytes", MaxLine)
+	errMore    = errors.New("more than one line")
+	errHalf    = errors.New("line without its end")
+)
+
+// Cut returns the call's line without its end once it is whole, or an error where what came can't become one. ended
+// tells that nothing more will come.
+func Cut(data []byte, ended bool) (line []byte, whole bool, err error) {
+	i := bytes.IndexByte(data, '\n')
+	switch {
+	case i < 0 && len(data) >= MaxLine || i >= MaxLine:
+		return nil, true, errTooLong
+	case i < 0 && ended:
+		return nil, true, errHalf
+	case i < 0:
+		return nil, false, nil
+	case len(data) > i+1: // which of the two is meant? neither is done
+		return nil, true, errMore
+	}
+	return bytes.TrimSuffix(data[:i], []byte("\r")), true, nil
+}
+
+// Parse reads a call's line.
+func Parse(line []byte) (Call, error) {
+	for _, c := range line {
+		if c < ' ' || c > '~' {
+			return Call{}, errors.New("bytes that are no text")
+		}
+	}
+	parts := strings.Fields(string(line))
+	if len(parts) == 0 {
+		return Call{}, errors.New("no call in the line; calls are " + strings.Join(words, ", "))
+	}
+	for w, name := range words {
+		if parts[0] != name {
+			continue
+		}
+		c := Call{Word: Word(w)}
+		takesID := c.Word == MaintOn || c.Word == MaintOff
+		switch {
+		case takesID && len(parts) == 1:
+			return Call{}, fmt.Errorf("%s needs the id of a server", name)
+		case takesID && len(parts) > 2:
+			return Call{}, fmt.Errorf("%s takes one id only", name)
+		case !takesID && len(parts) > 1:
+			return Call{}, fmt.Errorf("%s takes nothing more", name)
+		case takesID:
+			c.ID = parts[1]
+		}
+		return c, nil
+	}
+	return Call{}, fmt.Errorf("unknown call %q; calls are %s", parts[0], strings.Join(words, ", "))
+}
--- /dev/null
+++ b/internal/management/management_test.go
@@ -0,0 +1,147 @@
+package management
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+)
+
+// Every call gets one line, and what is wrong with it is said; nothing is done for a call that is not sound.
+func TestCalls(t *testing.T) {
+	for text, want := range map[string]string{
+		"status\n": "+OK status ", "status\r\n": "+OK status ", " maint-on  s-1 \r\n": "+OK maint-on s-1",
+		"maint-off s-1\n": "+OK maint-off s-1", "standby\n": "+OK standby ", "active\n": "+OK active ",
+		"\n": "-ERR no call", "STATUS\n": "-ERR unknown call", "maint-on\n": "-ERR maint-on needs", "maint-on a b\n": "-ERR maint-on takes one",
+		"status now\n": "-ERR status takes nothing", "status\nstandby\n": "-ERR more than one", "stat": "-ERR line without",
+		"maint-on \x00\n": "-ERR bytes", "maint-on \xff\xfe\n": "-ERR bytes", "st\rat\n": "-ERR bytes",
+		strings.Repeat("x", MaxLine) + "\n": "-ERR line longer", strings.Repeat("x", 3*MaxLine): "-ERR line longer",
+	} {
+		for size := 1; size <= len(text); size = size*2 + 1 {
+			s, done := serve(t, nil)
+			c := dial(t, s)
+			go func() {
+				for rest := text; len(rest) > 0; {
+					n := min(size, len(rest))
+					if _, err := io.WriteString(c, rest[:n]); err != nil {
+						return
+					}
+					rest = rest[n:]
+				}
+				_ = c.(*net.TCPConn).CloseWrite()
+			}()
+			got, _ := io.ReadAll(c)
+			if strings.Contains(text, "\nstandby") && size < len(text) {
+				// In pieces the first line may be answered before the second is there.
+				want = ""
+			}
+			if !strings.HasPrefix(string(got), want) || !strings.HasSuffix(string(got), "\r\n") || bytes.Count(got, []byte("\n")) != 1 {
+				t.Errorf("%.30q in pieces of %d: %q, not %q", text, size, got, want)
+			}
+			if n := len(done()); strings.HasPrefix(want, "-") && n > 0 {
+				t.Errorf("%.30q was done", text)
+			}
+		}
+	}
+}
+
+func serve(t *testing.T, stall chan struct{}) (*Server, func() []Call) {
+	t.Helper()
+	calls := make(chan Call, 1000)
+	s, err := Listen("127.0.0.1:0", func(c Call, over <-chan struct{}) Answer {
+		if stall != nil {
+			select {
+			case <-stall:
+			case <-over:
+				return No("late")
+			}
+		}
+		calls <- c
+		return Yes("%v %s", c.Word, c.ID)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Serve()
+	t.Cleanup(s.Close)
+	return s, func() (list []Call) {
+		for len(calls) > 0 {
+			list = append(list, <-calls)
+		}
+		return list
+	}
+}
+
+func dial(t *testing.T, s *Server) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", s.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetDeadline(time.Now().Add(10 * time.Second))
+	t.Cleanup(func() { _ = c.Close() })
+	return c
+}
+
+// Hundreds that connect and say nothing, before and after, keep no caller from its answer within a second.
+func TestSilentCallers(t *testing.T) {
+	s, _ := serve(t, nil)
+	for range 300 {
+		dial(t, s)
+	}
+	for i := range 5 {
+		began := time.Now()
+		c := dial(t, s)
+		for range 20 {
+			dial(t, s)
+		}
+		_, _ = io.WriteString(c, "status\n")
+		if got, err := io.ReadAll(c); string(got) != "+OK status \r\n" || time.Since(began) > time.Second {
+			t.Fatalf("call %d: %q %v after %v", i, got, err, time.Since(began))
+		}
+	}
+	if s.Counters.Cut.Load() == 0 {
+		t.Fatal("nobody made room")
+	}
+}
+
+// A call that nobody takes up is answered no within a second, and is not done later.
+func TestLate(t *testing.T) {
+	stall := make(chan struct{})
+	s, done := serve(t, stall)
+	began := time.Now()
+	c := dial(t, s)
+	_, _ = io.WriteString(c, "standby\r\n")
+	got, _ := io.ReadAll(c)
+	if string(got) != "-ERR late\r\n" || time.Since(began) > time.Second || s.Counters.Late.Load() != 1 {
+		t.Fatalf("%q after %v, %d late", got, time.Since(began), s.Counters.Late.Load())
+	}
+	close(stall)
+	if len(done()) > 0 {
+		t.Fatal("done for a caller who was told no")
+	}
+}
+
+func FuzzCall(f *testing.F) {
+	for _, s := range []string{"status\n", "maint-on s-1\r\n", "a\nb", "\x00", strings.Repeat("y", 600)} {
+		f.Add([]byte(s), true)
+	}
+	f.Fuzz(func(t *testing.T, data []byte, ended bool) {
+		line, whole, err := Cut(data, ended)
+		if err != nil || !whole {
+			return
+		}
+		c, err := Parse(line)
+		if err != nil {
+			if a := No("%v", err).Line(); bytes.Count(a, []byte("\n")) != 1 {
+				t.Fatalf("%q", a)
+			}
+			return
+		}
+		if (c.ID != "") != (c.Word == MaintOn || c.Word == MaintOff) || strings.ContainsAny(c.ID, " \t\r\n") {
+			t.Fatalf("%q read as %+v", line, c)
+		}
+	})
+}
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -23,6 +23,8 @@
 // Config is what one balancer needs to start.
 type Config struct {
 	Name, Listen, Discovery string
+	Management              string // where operators call; "" for nowhere
+	Inherited               string // the descriptor of a listening socket that the platform holds; "" for none
 	MemoryMB, Sockets       int
 	Cores                   float64
 	Core                    core.Config
@@ -32,11 +34,12 @@
 }
 
 type configFile struct {
-	Name      string `json:"name"`
-	Listen    string `json:"listen"`
-	Discovery string `json:"discovery"`
-	Seed      string `json:"seed"`
-	Limits    struct {
+	Name       string `json:"name"`
+	Listen     string `json:"listen"`
+	Discovery  string `json:"discovery"`
+	Management string `json:"management"`
+	Seed       string `json:"seed"`
+	Limits     struct {
 		Cores    float64 `json:"cores"`
 		MemoryMB int     `json:"memory_mb"`
 		Sockets  int     `json:"sockets"`
@@ -45,18 +48,21 @@
 	Settings json.RawMessage `json:"settings"`
 }
 
-// LoadConfig reads the configuration at path. Addresses and the name given beside it win.
-func LoadConfig(path, name, listen, discovery string) (Config, error) {
+// Beside is what a balancer is told beside its configuration, and wins over it where it is not empty.
+type Beside struct{ Name, Listen, Discovery, Management, Inherited string }
+
+// LoadConfig reads the configuration at path.
+func LoadConfig(path string, b Beside) (Config, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	return ParseConfig(body, name, listen, discovery)
+	return ParseConfig(body, b)
 }
 
 // ReloadConfig reads it again while the balancer serves. Discovery may have moved since the start, so what
 // the file says of it now wins over what was given beside it then.
-func ReloadConfig(path, name, listen, discovery string) (Config, error) {
+func ReloadConfig(path string, b Beside) (Config, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
@@ -65,7 +71,8 @@
 		Discovery string `json:"discovery"`
 	}
 	_ = json.Unmarshal(body, &file) // ParseConfig tells what is wrong
-	return ParseConfig(body, name, listen, either(file.Discovery, discovery))
+	b.Discovery = either(file.Discovery, b.Discovery)
+	return ParseConfig(body, b)
 }
 
 // SetEdge adds our own settings to those of the platform, and what they need of those: the tenants, and whether
@@ -96,13 +103,14 @@
 }
 
 // ParseConfig reads a configuration.
-func ParseConfig(body []byte, name, listen, discovery string) (Config, error) {
+func ParseConfig(body []byte, b Beside) (Config, error) {
 	var file configFile
 	if err := json.Unmarshal(body, &file); err != nil {
 		return Config{}, fmt.Errorf("config: %w", err)
 	}
-	c := Config{Name: either(name, file.Name), Listen: either(listen, file.Listen),
-		Discovery: either(discovery, file.Discovery), MemoryMB: file.Limits.MemoryMB,
+	c := Config{Name: either(b.Name, file.Name), Listen: either(b.Listen, file.Listen),
+		Discovery:  either(b.Discovery, file.Discovery),
+		Management: either(b.Management, file.Management), Inherited: b.Inherited, MemoryMB: file.Limits.MemoryMB,
 		Sockets: file.Limits.Sockets, Cores: file.Limits.Cores,
 		// An hour of slack: whatever started within it has a time of start after the clock's zero.
 		Zero: time.Now().Add(-time.Hour)}
@@ -111,6 +119,9 @@
 			return c, fmt.Errorf("%s: %q is not host:port", a.field, a.value)
 		}
 	}
+	if _, err := stdnet.ResolveTCPAddr("tcp4", c.Management); c.Management != "" && (err != nil || c.Management == c.Listen) {
+		return c, fmt.Errorf("management: %q is not host:port of its own", c.Management)
+	}
 	if c.MemoryMB < 0 || c.Sockets < 0 || c.Cores < 0 {
 		return c, fmt.Errorf("limits: negative figures")
 	}
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -5,9 +5,11 @@
 
 import (
 	"errors"
+	"fmt"
 	stdnet "net"
 	"oatloft/internal/admission"
 	"os"
+	"strconv"
 	"syscall"
 	"time"
 )
@@ -22,7 +24,10 @@
 
 // listen opens the listener that nbio accepts from.
 func (s *Server) listen(network, addr string) (stdnet.Listener, error) {
-	l, err := stdnet.Listen(network, addr)
+	l, err := s.inherit, error(nil)
+	if l == nil {
+		l, err = stdnet.Listen(network, addr)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -39,6 +44,39 @@
 	return s.listener, nil
 }
 
+// inherited takes over the listening socket that the platform holds for all processes of this balancer. It is closed by
+// each of them, and shut down by none: what waits in its queue is another one's then.
+func inherited(fd, addr string) (stdnet.Listener, error) {
+	n, err := strconv.Atoi(fd)
+	if err != nil || n < 3 {
+		return nil, fmt.Errorf("PROXY_FD: %q is no descriptor above 2", fd)
+	}
+	want, err := stdnet.ResolveTCPAddr("tcp", addr)
+	if err != nil {
+		return nil, fmt.Errorf("listen: %w", err)
+	}
+	switch on, err := syscall.GetsockoptInt(n, syscall.SOL_SOCKET, syscall.SO_ACCEPTCONN); {
+	case errors.Is(err, syscall.EBADF):
+		return nil, fmt.Errorf("PROXY_FD: descriptor %d is not open", n)
+	case err != nil:
+		return nil, fmt.Errorf("PROXY_FD: descriptor %d is no socket", n)
+	case on == 0:
+		return nil, fmt.Errorf("PROXY_FD: descriptor %d does not listen", n)
+	}
+	f := os.NewFile(uintptr(n), "PROXY_FD")
+	defer func() { _ = f.Close() }() // the listener has a descriptor of its own
+	l, err := stdnet.FileListener(f)
+	if err != nil {
+		return nil, fmt.Errorf("PROXY_FD: descriptor %d: %w", n, err)
+	}
+	has, ok := l.Addr().(*stdnet.TCPAddr)
+	if !ok || has.Port != want.Port || !has.IP.Equal(want.IP) && !(has.IP.IsUnspecified() && want.IP == nil) {
+		_ = l.Close()
+		return nil, fmt.Errorf("PROXY_FD: descriptor %d listens on %v, not on %s (listen)", n, l.Addr(), addr)
+	}
+	return l, nil
+}
+
 // Close ends the accepting as well.
 func (g gate) Close() error {
 	if g.file != nil {
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -105,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	cfg, err := ParseConfig([]byte(p.vars.Replace(string(body))), "", "", "")
+	cfg, err := ParseConfig([]byte(p.vars.Replace(string(body))), Beside{})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -353,7 +353,7 @@
 		t.Fatal(err)
 	}
 	good := strings.NewReplacer("$discovery", "127.0.0.1:1", "$r1", "127.0.0.1:2", "$r2", "127.0.0.1:3").Replace(string(body))
-	if c, err := ParseConfig([]byte(good), "n9", "127.0.0.1:9", ""); err != nil || c.Name != "n9" || c.Listen != "127.0.0.1:9" {
+	if c, err := ParseConfig([]byte(good), Beside{Name: "n9", Listen: "127.0.0.1:9"}); err != nil || c.Name != "n9" || c.Listen != "127.0.0.1:9" {
 		t.Fatal(c, err)
 	}
 	for _, x := range []struct{ old, new, field string }{
@@ -367,7 +367,7 @@
 		{`"settings"`, `"set"`, "settings"},
 		{`{"name"`, `"name"`, "config"},
 	} {
-		_, err := ParseConfig([]byte(strings.Replace(good, x.old, x.new, 1)), "", "", "")
+		_, err := ParseConfig([]byte(strings.Replace(good, x.old, x.new, 1)), Beside{})
 		if err == nil || !strings.Contains(err.Error(), x.field) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v", x.field, err)
 		}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -23,6 +23,7 @@
 	"oatloft/internal/admission"
 	"oatloft/internal/core"
 	"oatloft/internal/logs"
+	"oatloft/internal/management"
 	"oatloft/policy"
 )
 
@@ -46,6 +47,11 @@
 	cfg       Config
 	engine    *nbio.Engine
 	listener  stdnet.Listener
+	inherit   stdnet.Listener    // the platform's, shared with other processes; nil where this one listens by itself
+	manage    *management.Server // nil where operators have no address to call
+	asks      chan func()        // operators' calls, run between two events
+	over      chan struct{}      // closed once the loop has ended
+	accepts   bool               // terminals are taken in
 	queue     queue
 	core      *core.Reducer
 	sockets   atomic.Int64 // connections, and dials under way
@@ -85,8 +91,8 @@
 	}
 	s := &Server{cfg: cfg, core: r, terminals: map[core.Handle]*terminal{}, probes: map[string]*probe{},
 		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log, tracing: tracing(log), said: logs.Limit(log, time.Second),
-		queue: queue{bell: make(chan struct{}, 1)}}
-	s.limit.Store(openFiles(cfg.Sockets))
+		queue: queue{bell: make(chan struct{}, 1)}, asks: make(chan func()), over: make(chan struct{})}
+	s.limit.Store(s.descriptors(cfg))
 	if cfg.Admission != nil {
 		s.byTicket = map[admission.Ticket]*terminal{}
 		if s.door, err = newDoor(*cfg.Admission, uint64(cfg.Core.Seed), s.now, log, s.said); err != nil {
@@ -94,6 +100,9 @@
 		}
 		s.door.limit(int(s.limit.Load()), cfg.MemoryMB)
 	}
+	if err := s.open(); err != nil {
+		return nil, err
+	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
@@ -179,6 +188,10 @@
 	if err := s.engine.Start(); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	s.accepts = true
+	if s.manage != nil {
+		s.manage.Serve()
+	}
 	return nil
 }
 
@@ -195,12 +208,16 @@
 		go func() { s.door.keep(stop); close(kept) }()
 		defer func() { close(stop); <-kept }()
 	}
+	if s.manage != nil {
+		defer s.manage.Close()
+	}
+	defer close(s.over)
 	var exitBy time.Time
 	for {
 		if s.exit && exitBy.IsZero() {
 			exitBy = time.Now().Add(exitWait)
 		}
-		if s.exit && (len(s.finishing) == 0 || time.Now().After(exitBy)) {
+		if s.exit && (len(s.finishing) == 0 && len(s.moving) == 0 || time.Now().After(exitBy)) {
 			break
 		}
 		select {
@@ -208,9 +225,11 @@
 		case <-tick.C:
 			s.step(core.Tick{})
 			s.ticked(time.Now())
+		case f := <-s.asks:
+			f()
 		case <-leave:
 			leave = nil
-			s.step(core.Leave{})
+			s.leave()
 		case <-report:
 			s.Report()
 		case cfg := <-reload:
@@ -224,6 +243,15 @@
 	return nil
 }
 
+// leave begins the end. A listener that is the platform's is let go of at once: what waits in its queue, or comes, is
+// for the process that follows.
+func (s *Server) leave() {
+	if s.accepts = false; s.inherit != nil {
+		_ = s.listener.Close()
+	}
+	s.step(core.Leave{Handed: s.inherit != nil})
+}
+
 // reload takes a configuration read anew, in whole or not at all. Connections, load reports and what is
 // known of the regions stay; the list that the file holds is older than what a watch has brought since.
 func (s *Server) reload(cfg Config) {
@@ -232,6 +260,11 @@
 			fmt.Sprintf("listen: can't change from %s to %s while serving", s.cfg.Listen, cfg.Listen))
 		return
 	}
+	if cfg.Management != s.cfg.Management {
+		s.log.Error("not reloaded, the old configuration stays", "err",
+			fmt.Sprintf("management: can't change from %q to %q while serving", s.cfg.Management, cfg.Management))
+		return
+	}
 	if err := s.reloadDoor(cfg.Admission); err != nil {
 		s.log.Error("not reloaded, the old configuration stays", "err", err)
 		return
@@ -240,7 +273,7 @@
 	cfg.Zero = s.cfg.Zero
 	s.cfg = cfg
 	s.counters.Reloads++
-	s.limit.Store(min(openFiles(cfg.Sockets), int64(nbio.MaxOpenFiles)-moreFiles/2))
+	s.limit.Store(min(s.descriptors(cfg), int64(nbio.MaxOpenFiles)-moreFiles/2))
 	cfg.SetLimits()
 	if s.door != nil {
 		s.door.limit(int(s.limit.Load()), cfg.MemoryMB)
@@ -267,6 +300,9 @@
 	if s.door != nil {
 		all["admission"] = s.door.report()
 	}
+	if s.manage != nil {
+		all["management"] = s.manage.Report()
+	}
 	if line, err := json.Marshal(all); err == nil {
 		s.log.Info("counters", "all", json.RawMessage(line))
 	}
@@ -278,6 +314,11 @@
 	batch, starved := s.queue.take(s.batch)
 	s.batch = batch
 	for i, e := range batch {
+		select {
+		case f := <-s.asks: // an operator's call doesn't stand in the data's queue
+			f()
+		default:
+		}
 		s.handle(e)
 		batch[i] = event{}
 	}
