Leave servers out by call, drain the balancer, and hand on who stands where

Change: core lays maintenance over discovery's listing and moves standing terminals over 1.5 s; the set is one checked file, written before the yes and followed by both processes. standby answers PING with NO and moves standing terminals from 0.5 to 3 s where connections end here.

--- a/cmd/oatloft/main.go
+++ b/cmd/oatloft/main.go
@@ -32,11 +32,12 @@
 	Discovery  string `help:"Discovery's host:port." env:"PROXY_DISCOVERY"`
 	Management string `help:"Where operators call, host:port; nowhere if not given." env:"PROXY_MANAGEMENT"`
 	Inherited  string `name:"fd" help:"Descriptor of a listening socket held by the platform, taken in place of an own one." env:"PROXY_FD"`
+	State      string `help:"Directory for what one process leaves to the next." env:"TMPDIR" type:"path"`
 	Edge       string `help:"Our own settings, compiled by oatctl edge compile (JSON); none if not given." env:"PROXY_EDGE" type:"path"`
 }
 
 func (s source) beside() net.Beside {
-	return net.Beside{Name: s.Name, Listen: s.Listen, Discovery: s.Discovery, Management: s.Management, Inherited: s.Inherited}
+	return net.Beside{Name: s.Name, Listen: s.Listen, Discovery: s.Discovery, Management: s.Management, Inherited: s.Inherited, State: s.State}
 }
 
 func (s source) load() (net.Config, error) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -147,6 +147,19 @@
 	}
 	// Leave tells that the balancer is to go (SIGTERM). Handed tells that another process takes what comes from now on.
 	Leave struct{ Handed bool }
+	// Maintain tells that operators leave a region out (On), or take it back.
+	Maintain struct {
+		Region string
+		On     bool
+	}
+	// Standby tells that operators drain the balancer (On), or have it take terminals again.
+	Standby struct{ On bool }
+	// Left brings what the process before has left: regions that were listed once, and by flow's key where terminals
+	// stand whose packets come here in mid-flow from now on.
+	Left struct {
+		Regions  []string
+		Standing map[string]string
+	}
 	// Tick lets the time pass.
 	Tick struct{}
 )
@@ -179,6 +192,9 @@
 func (Probed) event()        {}
 func (Reconfigured) event()  {}
 func (Leave) event()         {}
+func (Maintain) event()      {}
+func (Standby) event()       {}
+func (Left) event()          {}
 func (Tick) event()          {}
 
 // Effect is what the host has to carry out, in order.
--- /dev/null
+++ b/internal/core/operators.go
@@ -0,0 +1,155 @@
+// What operators ask for: regions left out, and the whole balancer drained. This file owns both states and the pace at
+// which standing terminals make way. It must never hold back what discovery says, but for a region that is ready and
+// left out, and never decide where anybody goes.
+
+package core
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"oatloft/policy"
+)
+
+const (
+	clearEvery = 50 * time.Millisecond
+	clearIn    = 1500 * time.Millisecond // a region's terminals make way in this time: all at once would be a wave
+	standFirst = 500 * time.Millisecond  // the front sends nobody 0.2 s after a no; who is moved sooner comes back here
+	standIn    = 3 * time.Second         // all have made way this long after the call; a second later they must have
+	stoodFor   = 30 * time.Second        // what the process before has left is forgotten then
+	mostKnown  = 4096
+)
+
+// clearance is a time in which standing terminals make way.
+type clearance struct{ from, by time.Duration }
+
+// known remembers the regions that were ever listed, the latest of them.
+type known struct {
+	ids   map[string]bool
+	order []string
+}
+
+func (k *known) add(ids ...string) {
+	for _, id := range ids {
+		if k.ids[id] {
+			continue
+		}
+		if k.ids == nil {
+			k.ids = map[string]bool{}
+		}
+		k.ids[id] = true
+		if k.order = append(k.order, id); len(k.order) > mostKnown {
+			delete(k.ids, k.order[0])
+			k.order = k.order[1:]
+		}
+	}
+}
+
+// Known tells whether a region was ever listed, KnownRegions names all that were.
+func (r *Reducer) Known(id string) bool { return r.known.ids[id] || r.maint[id] }
+
+// KnownRegions names all regions that were ever listed.
+func (r *Reducer) KnownRegions() []string { return r.known.order }
+
+// Lists tells whether discovery lists a region now.
+func (r *Reducer) Lists(id string) bool { return r.regions[id] != nil }
+
+// Maintained names the regions that are left out.
+func (r *Reducer) Maintained() []string { return slices.Sorted(maps.Keys(r.maint)) }
+
+// Drained tells that the balancer is in standby.
+func (r *Reducer) Drained() bool { return r.standby }
+
+// Standing is the region of each flow that stands.
+func (r *Reducer) Standing() map[string]string {
+	list := map[string]string{}
+	for _, t := range r.open {
+		if t.state == open && t.Key != "" {
+			list[t.Key] = t.region
+		}
+	}
+	return list
+}
+
+// maintain has the module see a region drain, or be what discovery says again. It is told by a list of the kind that
+// says nothing of the watch: that one may be broken just now.
+func (r *Reducer) maintain(ev Maintain) {
+	if r.maint[ev.Region] == ev.On {
+		return
+	}
+	if ev.On {
+		r.maint[ev.Region] = true
+	} else {
+		delete(r.maint, ev.Region)
+	}
+	if g := r.regions[ev.Region]; g != nil && g.listed == policy.Live {
+		if g.State = policy.Live; ev.On {
+			g.State = policy.Draining
+		}
+		servers := make([]policy.Server, 0, len(r.regions))
+		for _, id := range slices.Sorted(maps.Keys(r.regions)) {
+			servers = append(servers, r.regions[id].Server)
+		}
+		r.feed(policy.ServerList{Kind: policy.ListCached, Servers: servers})
+	}
+	r.makeWay(ev.Region, ev.On, clearance{r.now, r.now + clearIn})
+}
+
+// drain begins or ends the standby. Where packets pass through, standing terminals go on.
+func (r *Reducer) drain(on bool) {
+	if r.standby == on {
+		return
+	}
+	r.standby = on
+	r.makeWay("", on && !r.cfg.PassThrough, clearance{r.now + standFirst, r.now + standIn})
+}
+
+func (r *Reducer) makeWay(who string, on bool, c clearance) {
+	if !on {
+		delete(r.clears, who)
+		return
+	}
+	if r.clears[who] = c; !r.clearing {
+		r.clearing = true
+		r.wheel.set(r.now+clearEvery, timer{kind: clearTimer})
+	}
+}
+
+// clear moves as many as have to go in this step for all to be gone in time; who comes up later goes in the next.
+func (r *Reducer) clear() {
+	if r.clearing = len(r.clears) > 0; !r.clearing {
+		return
+	}
+	again := sweepEvery // for those who come up later, or in mid-flow
+	defer func() { r.wheel.set(r.now+again, timer{kind: clearTimer}) }()
+	all := r.inOrder()
+	for _, who := range slices.Sorted(maps.Keys(r.clears)) {
+		c := r.clears[who]
+		if r.now < c.by {
+			again = clearEvery
+		}
+		if r.now < c.from {
+			continue
+		}
+		stands := func(t *transaction) bool {
+			return r.open[t.from] == t && t.state == open && (who == "" || t.region == who)
+		}
+		n := 0
+		for _, t := range all {
+			if stands(t) {
+				n++
+			}
+		}
+		steps := 1 + int(max(0, c.by-r.now)/clearEvery)
+		for left := (n + steps - 1) / steps; left > 0 && len(all) > 0; {
+			t := all[0]
+			if all = all[1:]; stands(t) {
+				r.Counters.Cleared++
+				r.sendAway(t)
+				left--
+			}
+		}
+		all = r.inOrder()
+	}
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -38,9 +38,11 @@
 	ended    time.Duration // when the terminal closed its sending, or heard something since; 0 if it has not
 }
 
-// region is a listed server, with what this balancer has learnt of its message delay.
+// region is a listed server, with what this balancer has learnt of its message delay. Its state is what the module is
+// told: draining also where discovery says ready, but operators leave it out.
 type region struct {
 	Region
+	listed   policy.ServerState // by discovery
 	toldLong bool
 	toldAt   time.Duration
 	answered time.Duration // when the latest line passed that has come back
@@ -58,6 +60,7 @@
 	TimedOut, NotSent, Probes, ProbesFailed, Lists, Watches    int64
 	WatchesBroken, Loads, Delays, EndedByRegion, EndedTerminal int64
 	Adopted, MidFlow, Unreadable, SaidNothing, SentOff         int64
+	Handed, Cleared                                            int64
 }
 
 // Reducer holds the state of one balancer. It is not safe for concurrent use.
@@ -80,6 +83,13 @@
 	classes    map[string]bool
 	regions    map[string]*region
 	listed     bool
+	maint      map[string]bool // regions that operators leave out
+	known      known
+	standby    bool
+	clearing   bool                 // the timer for it is set
+	clears     map[string]clearance // of a region, or with "" of all
+	stood      map[string]string    // region by flow's key, as the process before has left it ...
+	stoodTill  time.Duration        // ... until then
 	seq        int64
 	watching   bool
 	watchUp    bool
@@ -99,7 +109,8 @@
 		return nil, err
 	}
 	r := &Reducer{module: module, open: map[Handle]*transaction{}, quiet: map[Handle]struct{}{},
-		byID: map[string]*transaction{}, regions: map[string]*region{}}
+		byID: map[string]*transaction{}, regions: map[string]*region{},
+		maint: map[string]bool{}, clears: map[string]clearance{}}
 	r.configure(cfg)
 	return r, nil
 }
@@ -206,6 +217,15 @@
 			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
 			r.sendAllAway()
 		}
+	case Maintain:
+		r.maintain(ev)
+	case Standby:
+		r.drain(ev.On)
+	case Left:
+		r.known.add(ev.Regions...)
+		if len(ev.Standing) > 0 {
+			r.stood, r.stoodTill = ev.Standing, r.now+stoodFor
+		}
 	case Tick:
 		r.wheel.advance(r.now, r.due)
 	}
@@ -287,6 +307,11 @@
 	r.wheel.set(t.deadline, timer{kind: deadlineTimer, of: t.from})
 	if t.MidFlow {
 		r.Counters.MidFlow++
+		if g, ok := r.stood[t.Key]; ok {
+			delete(r.stood, t.Key)
+			r.Counters.Handed++
+			r.feed(policy.Stands{Key: t.Key, Server: g})
+		}
 	}
 	if t.at != "" {
 		r.goBack(t)
@@ -615,18 +640,23 @@
 	servers := make([]policy.Server, 0, len(ev.Regions))
 	named := make(map[string]bool, len(ev.Regions))
 	for _, g := range ev.Regions {
+		listed := g.State
+		if listed == policy.Live && r.maint[g.ID] {
+			g.State = policy.Draining
+		}
 		servers = append(servers, g.Server)
 		named[g.ID] = true
+		r.known.add(g.ID)
 		switch known := r.regions[g.ID]; {
 		case g.State == policy.Gone:
 			r.forget(g.ID)
 		case known == nil:
-			r.regions[g.ID] = &region{Region: g}
+			r.regions[g.ID] = &region{Region: g, listed: listed}
 		default:
 			if known.Dial != g.Dial {
 				r.do(ForgetRegion{g.ID})
 			}
-			known.Region = g
+			known.Region, known.listed = g, listed
 		}
 	}
 	if ev.Kind != policy.ListDelta {
@@ -692,6 +722,8 @@
 		if r.watching && t.attempt == r.watchCalls && !r.watchUp {
 			r.watchEnded()
 		}
+	case clearTimer:
+		r.clear()
 	case leaveTimer: // while connections stand, others may not be ready to take them, and they are served here
 		if r.owed == 0 && (r.nothingLeft() || r.now >= r.leaveBy) {
 			r.do(Exit{})
@@ -769,6 +801,9 @@
 			r.delay(t, waits) // nobody who asked the region later was answered: it is not this connection alone
 		}
 	}
+	if r.now > r.stoodTill {
+		r.stood = nil
+	}
 	if r.watching && r.watchUp && r.now-r.watchHeard > watchSilent {
 		r.watchEnded()
 	}
--- a/internal/core/wheel.go
+++ b/internal/core/wheel.go
@@ -21,6 +21,7 @@
 	sweepTimer
 	watchTimer
 	leaveTimer
+	clearTimer
 )
 
 type timer struct {
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -23,6 +23,7 @@
 // Config is what one balancer needs to start.
 type Config struct {
 	Name, Listen, Discovery string
+	State                   string // directory for what one process leaves to the next
 	Management              string // where operators call; "" for nowhere
 	Inherited               string // the descriptor of a listening socket that the platform holds; "" for none
 	MemoryMB, Sockets       int
@@ -49,7 +50,7 @@
 }
 
 // Beside is what a balancer is told beside its configuration, and wins over it where it is not empty.
-type Beside struct{ Name, Listen, Discovery, Management, Inherited string }
+type Beside struct{ Name, Listen, Discovery, Management, Inherited, State string }
 
 // LoadConfig reads the configuration at path.
 func LoadConfig(path string, b Beside) (Config, error) {
@@ -110,7 +111,7 @@
 	}
 	c := Config{Name: either(b.Name, file.Name), Listen: either(b.Listen, file.Listen),
 		Discovery:  either(b.Discovery, file.Discovery),
-		Management: either(b.Management, file.Management), Inherited: b.Inherited, MemoryMB: file.Limits.MemoryMB,
+		Management: either(b.Management, file.Management), Inherited: b.Inherited, State: b.State, MemoryMB: file.Limits.MemoryMB,
 		Sockets: file.Limits.Sockets, Cores: file.Limits.Cores,
 		// An hour of slack: whatever started within it has a time of start after the clock's zero.
 		Zero: time.Now().Add(-time.Hour)}
--- a/internal/net/manage.go
+++ b/internal/net/manage.go
@@ -6,13 +6,27 @@
 import (
 	"errors"
 	"fmt"
+	"os"
+	"slices"
 	"syscall"
+	"time"
 
+	"oatloft/internal/core"
+	"oatloft/internal/handover"
 	"oatloft/internal/management"
 )
 
+const (
+	followEvery = 50 * time.Millisecond // a call to the other process holds here within this and a tick
+	leftAge     = time.Minute           // what was left longer ago tells nothing of today's connections
+	leftWait    = 150 * time.Millisecond
+)
+
 // open opens the operators' address and takes over the platform's listener, where there are such.
 func (s *Server) open() (err error) {
+	if s.cfg.Management != "" || s.cfg.Inherited != "" {
+		s.dir = handover.Open(either(s.cfg.State, os.TempDir()), s.cfg.Name)
+	}
 	if s.cfg.Inherited != "" { // first: a wrong number could be that of what is opened next
 		if s.inherit, err = inherited(s.cfg.Inherited, s.cfg.Listen); err != nil {
 			return err
@@ -58,13 +72,109 @@
 
 // operate answers one call, on the caller's goroutine.
 func (s *Server) operate(c management.Call, over <-chan struct{}) management.Answer {
+	if c.Word == management.MaintOn || c.Word == management.MaintOff {
+		return s.maintain(c, over)
+	}
 	return s.onLoop(over, func() management.Answer {
-		switch c.Word {
-		case management.Status:
+		if c.Word == management.Status {
 			return s.status()
 		}
-		return management.No("%v: not known to this version", c.Word)
+		on := c.Word == management.Standby
+		if s.core.Leaving() {
+			return management.No("leaving: nothing changed")
+		}
+		if s.core.Drained() == on {
+			return management.Yes("%v already", c.Word)
+		}
+		s.step(core.Standby{On: on})
+		s.log.Info("operators' call", "call", c.Word.String(), "standing", s.core.Open()-s.core.Owed())
+		return management.Yes("%v, %d standing", c.Word, s.core.Open()-s.core.Owed())
+	})
+}
+
+// maintain leaves a region out or takes it back. The file is written on the caller's goroutine, before the yes and before
+// the loop knows: a call whose file can't be written has changed nothing.
+func (s *Server) maintain(c management.Call, over <-chan struct{}) management.Answer {
+	on := c.Word == management.MaintOn
+	select {
+	case s.keeping <- struct{}{}:
+		defer func() { <-s.keeping }()
+	case <-over:
+		return management.No("busy: another call is being written, nothing changed")
+	}
+	var now handover.Maintenance
+	known := false
+	if a := s.onLoop(over, func() management.Answer {
+		known = s.core.Known(c.ID)
+		now = handover.Maintenance{Out: s.core.Maintained(), Known: slices.Clone(s.core.KnownRegions())}
+		return management.Yes("")
+	}); !a.OK {
+		return a
+	}
+	if !known {
+		return management.No("%s was never listed, nothing changed", c.ID)
+	}
+	if err := s.dir.Maintain(c.ID, on, now); err != nil {
+		return management.No("%v, nothing changed", err)
+	}
+	// It is on disk: even if this loop takes it up no more, the next process finds the file.
+	s.onLoop(nil, func() management.Answer {
+		s.step(core.Maintain{Region: c.ID, On: on})
+		return management.Answer{}
 	})
+	s.log.Info("operators' call", "call", c.Word.String(), "server", c.ID)
+	switch {
+	case on:
+		return management.Yes("%s is left out", c.ID)
+	case slices.Contains(now.Out, c.ID):
+		return management.Yes("%s is used again", c.ID)
+	}
+	return management.Yes("%s was not left out", c.ID)
+}
+
+// follow reads what the other process of this balancer has written since the last look.
+func (s *Server) follow() {
+	if s.dir == nil {
+		return
+	}
+	if s.dir.MaintenanceChanged() {
+		if m, err := s.dir.Maintenance(); err != nil {
+			s.log.Error("not read, what is left out stays", "err", err)
+		} else {
+			s.step(core.Left{Regions: m.Known})
+			for _, id := range s.core.Maintained() {
+				if !slices.Contains(m.Out, id) {
+					s.step(core.Maintain{Region: id})
+				}
+			}
+			for _, id := range m.Out {
+				s.step(core.Maintain{Region: id, On: true})
+			}
+		}
+	}
+	if s.inherit != nil && !s.core.Leaving() && s.dir.LeftChanged() {
+		l, ok, err := s.dir.Left(leftAge)
+		if err != nil {
+			s.log.Error("not read, connections in mid-flow are sought", "err", err)
+		} else if ok {
+			s.log.Info("the process before has left", "standing", len(l.Standing))
+			s.step(core.Left{Regions: l.Known, Standing: l.Standing})
+		}
+	}
+}
+
+// handOver writes what the next process has to know of this one.
+func (s *Server) handOver() {
+	if s.inherit == nil {
+		return
+	}
+	l := handover.Left{Known: s.core.KnownRegions(), Standing: map[string]string{}}
+	if s.cfg.Core.PassThrough {
+		l.Standing = s.core.Standing()
+	}
+	if err := s.dir.Leave(l); err != nil {
+		s.log.Error("what stands is not handed over", "err", err)
+	}
 }
 
 // status is yes while this process takes terminals.
@@ -77,5 +187,8 @@
 	case !s.core.Listed():
 		return management.No("starting: no list of servers yet")
 	}
+	if s.core.Drained() {
+		return management.No("standby: %d standing", s.core.Open()-s.core.Owed())
+	}
 	return management.Yes("taking clients, %d standing", s.core.Open()-s.core.Owed())
 }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -22,6 +22,7 @@
 
 	"oatloft/internal/admission"
 	"oatloft/internal/core"
+	"oatloft/internal/handover"
 	"oatloft/internal/logs"
 	"oatloft/internal/management"
 	"oatloft/policy"
@@ -52,6 +53,9 @@
 	asks      chan func()        // operators' calls, run between two events
 	over      chan struct{}      // closed once the loop has ended
 	accepts   bool               // terminals are taken in
+	dir       *handover.Dir      // nil where neither operators nor another process share anything with this one
+	keeping   chan struct{}      // calls that change the file go one by one
+	followAt  time.Time
 	queue     queue
 	core      *core.Reducer
 	sockets   atomic.Int64 // connections, and dials under way
@@ -91,7 +95,8 @@
 	}
 	s := &Server{cfg: cfg, core: r, terminals: map[core.Handle]*terminal{}, probes: map[string]*probe{},
 		finishing: map[*link]struct{}{}, moving: map[*terminal]struct{}{}, log: log, tracing: tracing(log), said: logs.Limit(log, time.Second),
-		queue: queue{bell: make(chan struct{}, 1)}, asks: make(chan func()), over: make(chan struct{})}
+		queue: queue{bell: make(chan struct{}, 1)}, asks: make(chan func()), over: make(chan struct{}),
+		keeping: make(chan struct{}, 1)}
 	s.limit.Store(s.descriptors(cfg))
 	if cfg.Admission != nil {
 		s.byTicket = map[admission.Ticket]*terminal{}
@@ -182,6 +187,7 @@
 
 // Start tells the reducer what is known and listens. Run has to follow.
 func (s *Server) Start() error {
+	s.follow() // before the first list: a region that is left out gets nothing at all
 	if s.cfg.Known != nil {
 		s.step(*s.cfg.Known)
 	}
@@ -212,12 +218,16 @@
 		defer s.manage.Close()
 	}
 	defer close(s.over)
-	var exitBy time.Time
+	var exitBy, exitFrom time.Time
 	for {
 		if s.exit && exitBy.IsZero() {
 			exitBy = time.Now().Add(exitWait)
+			if s.inherit != nil {
+				s.handOver() // those as well that came to stand since
+				exitFrom = time.Now().Add(leftWait)
+			}
 		}
-		if s.exit && (len(s.finishing) == 0 && len(s.moving) == 0 || time.Now().After(exitBy)) {
+		if s.exit && time.Now().After(exitFrom) && (len(s.finishing) == 0 && len(s.moving) == 0 || time.Now().After(exitBy)) {
 			break
 		}
 		select {
@@ -250,6 +260,7 @@
 		_ = s.listener.Close()
 	}
 	s.step(core.Leave{Handed: s.inherit != nil})
+	s.handOver()
 }
 
 // reload takes a configuration read anew, in whole or not at all. Connections, load reports and what is
@@ -373,6 +384,10 @@
 
 // ticked does what sockets need by the clock.
 func (s *Server) ticked(now time.Time) {
+	if now.After(s.followAt) {
+		s.followAt = now.Add(followEvery)
+		s.follow()
+	}
 	for region, p := range s.probes {
 		if p.busy && now.After(p.due) {
 			s.probed(region, p, policy.TimedOut, nil)
--- a/internal/net/terminals.go
+++ b/internal/net/terminals.go
@@ -100,7 +100,11 @@
 			return
 		case platform.IsPing(line):
 			s.counters.Pings++
-			t.l.write(platform.Pong)
+			if s.core.Drained() {
+				t.l.write(platform.No)
+			} else {
+				t.l.write(platform.Pong)
+			}
 			data = data[len(line):]
 			continue
 		}
--- a/internal/platform/lines.go
+++ b/internal/platform/lines.go
@@ -23,6 +23,7 @@
 // The lines that the balancer itself sends.
 var (
 	Pong   = []byte("PONG\r\n")
+	No     = []byte("NO\r\n") // in standby, to PING
 	Failed = []byte("ERR\r\n")
 	Move   = []byte("MOVE\r\n")
 	Stats  = []byte("STATS\r\n")
--- a/policy/api.go
+++ b/policy/api.go
@@ -185,6 +185,9 @@
 	Server string
 }
 
+// Stands tells which server holds the connection of a key, whose packets may come here in mid-flow.
+type Stands struct{ Key, Server string }
+
 // Established tells that the connection stands; it ends with an Outcome.
 type Established struct {
 	ID      string
@@ -231,6 +234,7 @@
 func (ServerList) event()  {}
 func (Request) event()     {}
 func (Adopted) event()     {}
+func (Stands) event()      {}
 func (Established) event() {}
 func (Outcome) event()     {}
 func (LoadChange) event()  {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -70,6 +70,8 @@
 		b.arrive(ev)
 	case Adopted:
 		b.adopt(ev)
+	case Stands:
+		b.expect(ev)
 	case Established:
 		if r := b.requests[ev.ID]; r != nil && r.out && ev.Attempt == r.attempts-1 {
 			r.on.fails, r.on.heldOff, r.on.heardAt = 0, 0, b.now
@@ -271,10 +273,6 @@
 	if p, ok := b.plans[q.Key]; ok && b.now < p.until {
 		r.plan = p
 		delete(b.plans, q.Key)
-		if p.target != nil && b.usable(p.target, r) && b.mayStart() && !b.overdue(r) {
-			b.send(r, p.target)
-			return
-		}
 	}
 	b.place(r)
 }
@@ -294,6 +292,10 @@
 		}
 		return
 	}
+	if s := r.target; s != nil && b.usable(s, r) {
+		b.send(r, s)
+		return
+	}
 	r.choice, r.chooseAt = b.draw(r), b.now+r.class.Aim/8
 	for _, s := range r.choice {
 		b.read(s, r)
@@ -505,7 +507,7 @@
 	if o.Result.Ran() && r.ranAt < 0 {
 		r.ranAt, r.ranOn = r.sentAt, s
 	}
-	r.avoid, r.from = s, nil
+	r.avoid, r.from, r.target = s, nil, nil
 	// A failed exploration counts as a reading above the old one: back it goes.
 	if from != nil && !b.overdue(r) && b.usable(from, r) && r.attempts < b.cfg.MaxAttempts && b.mayStart() {
 		b.send(r, from)
--- a/policy/state.go
+++ b/policy/state.go
@@ -149,6 +149,13 @@
 	b.stand(r)
 }
 
+// expect notes where the connection of a key stands, as the process that held it before has told.
+func (b *Balancer) expect(e Stands) {
+	if s := b.servers[e.Server]; s != nil {
+		b.plans[e.Key] = plan{target: s, until: b.now + planFor}
+	}
+}
+
 // merge brings the servers up to a list or to the changes of one.
 func (b *Balancer) merge(l ServerList) {
 	listed := make(map[string]bool, len(l.Servers))
