Move terminals from the leaving process and place them again where they stood

At fault: nothingLeft (reducer.go) let standing terminals be cut, and opened asked the file for mid-flow only.

Change: after SIGTERM with an inherited listener the old process moves its terminals from 150 ms on over 1.5 s and leaves when all have gone; the new one tells the module of every returning key's region, mid-flow or not.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -34,7 +34,7 @@
 	youngest    = 10 * time.Millisecond   // nobody is sent off sooner: the line may be on its way
 	endEarly    = 15 * time.Millisecond   // the final answer leaves so long before the terminal quits
 	leaveAfter  = 800 * time.Millisecond  // after SIGTERM new terminals still come for half of this
-	handedAfter = 300 * time.Millisecond  // ... or not at all, and the other process has read by then who stands where
+	handedAfter = 150 * time.Millisecond  // ... or not at all, and the other process has read by then who stands where
 	leaveMost   = 3 * time.Second         // the end comes by force this long after SIGTERM, or after the longest ...
 	leaveMargin = 500 * time.Millisecond  // ... wait if that is less, and 700 ms: standing connections go on until then
 	watchSilent = 4 * time.Second         // a sound watch brings something every 2 s; news count as told after 6 s
@@ -154,8 +154,8 @@
 	}
 	// Standby tells that operators drain the balancer (On), or have it take terminals again.
 	Standby struct{ On bool }
-	// Left brings what the process before has left: regions that were listed once, and by flow's key where terminals
-	// stand whose packets come here in mid-flow from now on.
+	// Left brings what the process before has left: regions that were listed once, and by flow's key where the terminals
+	// stand that come here from now on.
 	Left struct {
 		Regions  []string
 		Standing map[string]string
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -212,10 +212,12 @@
 			r.leaving, r.handed, r.leaveAt = true, ev.Handed, r.now+leaveAfter
 			if r.handed {
 				r.leaveAt = r.now + handedAfter
+				r.makeWay("", true, clearance{r.leaveAt, r.leaveAt + clearIn})
+			} else {
+				r.sendAllAway()
 			}
 			r.leaveBy = r.now + max(leaveAfter, min(leaveMost, r.cfg.LongestWait)+leaveMargin)
 			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
-			r.sendAllAway()
 		}
 	case Maintain:
 		r.maintain(ev)
@@ -307,11 +309,11 @@
 	r.wheel.set(t.deadline, timer{kind: deadlineTimer, of: t.from})
 	if t.MidFlow {
 		r.Counters.MidFlow++
-		if g, ok := r.stood[t.Key]; ok {
-			delete(r.stood, t.Key)
-			r.Counters.Handed++
-			r.feed(policy.Stands{Key: t.Key, Server: g})
-		}
+	}
+	if g, ok := r.stood[t.Key]; ok { // it left the process before, or comes in mid-flow: nothing is added where it stood
+		delete(r.stood, t.Key)
+		r.Counters.Handed++
+		r.feed(policy.Stands{Key: t.Key, Server: g})
 	}
 	if t.at != "" {
 		r.goBack(t)
@@ -437,7 +439,7 @@
 		r.do(EndRegion{Of: t.from, How: Closed})
 	}
 	r.notes(t, ev.Bytes)
-	if r.leaving && !r.cfg.PassThrough {
+	if r.leaving && !r.handed && !r.cfg.PassThrough {
 		r.sendAway(t)
 	}
 }
@@ -733,13 +735,10 @@
 	}
 }
 
-// nothingLeft tells that nobody needs this process any more. Where another one is there already, and packets pass
-// through, standing connections go on there; but whoever came here and has not spoken yet is served here.
+// nothingLeft tells that nobody needs this process any more. Whoever came and has not spoken yet is served here as well
+// where another process has the listener: it won't come again by itself.
 func (r *Reducer) nothingLeft() bool {
-	if r.handed {
-		return len(r.quiet) == 0 && (r.cfg.PassThrough || len(r.open) == 0)
-	}
-	return len(r.open) == 0
+	return len(r.open) == 0 && (!r.handed || len(r.quiet) == 0)
 }
 
 // lateResult tells how a routed task ends whose time is up: one that was never sent has not run.
--- a/internal/net/manage.go
+++ b/internal/net/manage.go
@@ -19,7 +19,6 @@
 const (
 	followEvery = 50 * time.Millisecond // a call to the other process holds here within this and a tick
 	leftAge     = time.Minute           // what was left longer ago tells nothing of today's connections
-	leftWait    = 150 * time.Millisecond
 )
 
 // open opens the operators' address and takes over the platform's listener, where there are such.
@@ -155,7 +154,7 @@
 	if s.inherit != nil && !s.core.Leaving() && s.dir.LeftChanged() {
 		l, ok, err := s.dir.Left(leftAge)
 		if err != nil {
-			s.log.Error("not read, connections in mid-flow are sought", "err", err)
+			s.log.Error("not read, who comes back is placed anew", "err", err)
 		} else if ok {
 			s.log.Info("the process before has left", "standing", len(l.Standing))
 			s.step(core.Left{Regions: l.Known, Standing: l.Standing})
@@ -168,11 +167,7 @@
 	if s.inherit == nil {
 		return
 	}
-	l := handover.Left{Known: s.core.KnownRegions(), Standing: map[string]string{}}
-	if s.cfg.Core.PassThrough {
-		l.Standing = s.core.Standing()
-	}
-	if err := s.dir.Leave(l); err != nil {
+	if err := s.dir.Leave(handover.Left{Known: s.core.KnownRegions(), Standing: s.core.Standing()}); err != nil {
 		s.log.Error("what stands is not handed over", "err", err)
 	}
 }
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -218,16 +218,12 @@
 		defer s.manage.Close()
 	}
 	defer close(s.over)
-	var exitBy, exitFrom time.Time
+	var exitBy time.Time
 	for {
 		if s.exit && exitBy.IsZero() {
 			exitBy = time.Now().Add(exitWait)
-			if s.inherit != nil {
-				s.handOver() // those as well that came to stand since
-				exitFrom = time.Now().Add(leftWait)
-			}
 		}
-		if s.exit && time.Now().After(exitFrom) && (len(s.finishing) == 0 && len(s.moving) == 0 || time.Now().After(exitBy)) {
+		if s.exit && (len(s.finishing) == 0 && len(s.moving) == 0 || time.Now().After(exitBy)) {
 			break
 		}
 		select {
