--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -160,6 +160,8 @@
 		Regions  []string
 		Standing map[string]string
 	}
+	// Beside tells how many further processes place terminals for this balancer.
+	Beside struct{ Others int }
 	// Tick lets the time pass.
 	Tick struct{}
 )
@@ -195,6 +197,7 @@
 func (Maintain) event()      {}
 func (Standby) event()       {}
 func (Left) event()          {}
+func (Beside) event()        {}
 func (Tick) event()          {}
 
 // Effect is what the host has to carry out, in order.
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -201,7 +201,13 @@
 			r.Counters.ProbesFailed++
 		}
 		r.feed(policy.ProbeResult{Server: ev.Region, Result: ev.Result, Report: ev.Report})
+	case Beside:
+		if r.cfg.Policy.Beside != ev.Others { // what is shared with other balancers is shared once more
+			r.cfg.Policy.Beside = ev.Others
+			r.feed(policy.Settings{Config: r.cfg.Policy})
+		}
 	case Reconfigured:
+		ev.Policy.Beside = r.cfg.Policy.Beside
 		r.configure(ev.Config)
 		r.feed(policy.Settings{Config: ev.Policy})
 		if ev.Moved {
--- /dev/null
+++ b/internal/handover/handover_test.go
@@ -0,0 +1,138 @@
+package handover
+
+import (
+	"bytes"
+	"errors"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+// What one process writes the next one reads; both may change the file, and neither loses the other's call.
+func TestMaintain(t *testing.T) {
+	dir := t.TempDir()
+	a, b := Open(dir, "n/1"), Open(dir, "n/1")
+	for i, err := range []error{a.Maintain("x", true, Maintenance{Known: []string{"x", "y"}}), b.Maintain("y", true, Maintenance{}),
+		b.Maintain("y", true, Maintenance{}), a.Maintain("x", false, Maintenance{})} {
+		if err != nil {
+			t.Fatal(i, err)
+		}
+	}
+	m, err := a.Maintenance()
+	if err != nil || !slices.Equal(m.Out, []string{"y"}) || !slices.Equal(m.Known, []string{"x", "y"}) {
+		t.Fatal(m, err)
+	}
+	if !a.MaintenanceChanged() || a.MaintenanceChanged() {
+		t.Fatal("a change is seen once")
+	}
+	if err := b.Maintain("z", true, Maintenance{}); err != nil || !a.MaintenanceChanged() {
+		t.Fatal("the other's change is not seen", err)
+	}
+	if m, err := Open(dir, "n2").Maintenance(); err != nil || len(m.Out) > 0 {
+		t.Fatal("another balancer's:", m, err)
+	}
+	list, err := os.ReadDir(dir)
+	if err != nil || len(list) != 2 { // the file and the lock: nothing half written is left
+		t.Fatal(list, err)
+	}
+}
+
+// A file that can't be trusted is an error with its name, and an empty start; the next call writes a sound one.
+func TestBadFiles(t *testing.T) {
+	dir := t.TempDir()
+	d := Open(dir, "n1")
+	if err := d.Maintain("x", true, Maintenance{}); err != nil {
+		t.Fatal(err)
+	}
+	good, err := os.ReadFile(d.file(maintenance))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, text := range map[string]string{
+		"cut off": string(good[:len(good)/2]), "empty": "", "foreign": `{"form":"other","version":1}`, "no JSON": "\x00\x01",
+		"changed":   strings.Replace(string(good), `"x"`, `"z"`, 1),
+		"too new":   strings.Replace(string(good), `"version":1`, `"version":2`, 1),
+		"another's": strings.Replace(string(good), `"n1"`, `"n2"`, 1), "long": strings.Repeat(" ", mostBytes+1),
+	} {
+		if err := os.WriteFile(d.file(maintenance), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if m, err := d.Maintenance(); err == nil || len(m.Out) > 0 || !strings.Contains(err.Error(), d.file(maintenance)) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v %v", name, m, err)
+		}
+		if err := d.Maintain("y", true, Maintenance{Out: []string{"x"}}); err != nil {
+			t.Errorf("%s: %v", name, err)
+		}
+		if m, err := d.Maintenance(); err != nil || !slices.Equal(m.Out, []string{"x", "y"}) {
+			t.Errorf("%s, after a call: %v %v", name, m, err)
+		}
+	}
+	if err := Open(dir+"/none", "n1").Maintain("x", true, Maintenance{}); !errors.Is(err, os.ErrNotExist) {
+		t.Error("a directory that isn't there:", err)
+	}
+}
+
+// What was left long ago tells nothing of today's connections.
+func TestLeft(t *testing.T) {
+	d := Open(t.TempDir(), "n1")
+	if _, ok, err := d.Left(time.Minute); ok || err != nil {
+		t.Fatal("nothing was left:", ok, err)
+	}
+	if err := d.Leave(Left{Standing: map[string]string{"k": "r"}}); err != nil {
+		t.Fatal(err)
+	}
+	if l, ok, err := d.Left(time.Minute); !ok || err != nil || l.Standing["k"] != "r" {
+		t.Fatal(l, ok, err)
+	}
+	time.Sleep(5 * time.Millisecond)
+	if _, ok, err := d.Left(time.Millisecond); ok || err != nil {
+		t.Fatal("it is too old:", ok, err)
+	}
+}
+
+func FuzzFile(f *testing.F) {
+	d := Open(f.TempDir(), "n1")
+	if err := d.Maintain("x", true, Maintenance{}); err != nil {
+		f.Fatal(err)
+	}
+	good, _ := os.ReadFile(d.file(maintenance))
+	f.Add(good)
+	f.Add([]byte(`{"form":"oatloft","version":1,"kind":"maintenance","balancer":"n1","body":null}`))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m Maintenance
+		if _, err := d.decode(data, maintenance, &m); err == nil && !bytes.Contains(data, []byte(form)) {
+			t.Fatalf("%q passed", data)
+		}
+	})
+}
+
+// Processes of one balancer know of each other and of what each takes, for as long as they are there.
+func TestPresence(t *testing.T) {
+	dir := t.TempDir()
+	a, err := Open(dir, "n1").Appear()
+	if err != nil || len(a.Others()) > 0 {
+		t.Fatal("alone:", err, a.Others())
+	}
+	b, err := Open(dir, "n1").Appear()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(dir, "n2").Appear(); err != nil {
+		t.Fatal(err)
+	}
+	use := Use{Sockets: 700, Memory: 9 << 20, Leaving: 1}
+	if err := a.Write(use); err != nil {
+		t.Fatal(err)
+	}
+	if o := b.Others(); len(o) != 1 || o[0] != use {
+		t.Fatal("seen from the second:", o)
+	}
+	if o := a.Others(); len(o) != 1 {
+		t.Fatal("seen from the first:", o)
+	}
+	if a.Close(); len(b.Others()) > 0 {
+		t.Fatal("one that has ended is still there")
+	}
+}
--- a/internal/net/manage.go
+++ b/internal/net/manage.go
@@ -6,6 +6,7 @@
 import (
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"slices"
 	"syscall"
@@ -17,8 +18,9 @@
 )
 
 const (
-	followEvery = 50 * time.Millisecond // a call to the other process holds here within this and a tick
-	leftAge     = time.Minute           // what was left longer ago tells nothing of today's connections
+	followEvery    = 50 * time.Millisecond // a call to the other process holds here within this and a tick
+	ownDescriptors = 16                    // of a process that serves nobody
+	leftAge        = time.Minute           // what was left longer ago tells nothing of today's connections
 )
 
 // open opens the operators' address and takes over the platform's listener, where there are such.
@@ -30,6 +32,10 @@
 		if s.inherit, err = inherited(s.cfg.Inherited, s.cfg.Listen); err != nil {
 			return err
 		}
+		if s.beside, err = s.dir.Appear(); err != nil {
+			s.log.Error("other processes of this balancer are not seen", "err", err)
+		}
+		s.meet(int64(heap()))
 	}
 	if s.cfg.Management != "" {
 		if s.manage, err = management.Listen(s.cfg.Management, s.operate); err != nil {
@@ -162,6 +168,36 @@
 	}
 }
 
+// meet tells the other processes of this balancer what this one takes, and learns what they do: descriptors, memory and
+// what may be sent to a cold region are had once for all of them. One that leaves places nobody any more.
+func (s *Server) meet(used int64) {
+	if s.beside == nil {
+		return
+	}
+	mine := handover.Use{Sockets: s.sockets.Load() + ownDescriptors, Memory: used}
+	if s.core.Leaving() {
+		mine.Leaving = 1
+	}
+	if err := s.beside.Write(mine); err != nil {
+		s.said.Say(time.Now(), slog.LevelError, "use", "other processes don't see what this one takes", slog.Any("err", err))
+	}
+	before := s.others
+	s.others = handover.Use{}
+	placing := 0
+	for _, u := range s.beside.Others() {
+		s.others.Sockets += u.Sockets
+		s.others.Memory += u.Memory
+		if u.Leaving == 0 {
+			placing++
+		}
+	}
+	s.limit.Add(before.Sockets - s.others.Sockets)
+	if s.door != nil && before.Sockets != s.others.Sockets {
+		s.door.limit(int(s.limit.Load()), s.cfg.MemoryMB)
+	}
+	s.step(core.Beside{Others: placing})
+}
+
 // handOver writes what the next process has to know of this one.
 func (s *Server) handOver() {
 	if s.inherit == nil {
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -53,6 +53,8 @@
 	asks      chan func()        // operators' calls, run between two events
 	over      chan struct{}      // closed once the loop has ended
 	accepts   bool               // terminals are taken in
+	beside    *handover.Presence // nil where no other process can be there
+	others    handover.Use       // what those take
 	dir       *handover.Dir      // nil where neither operators nor another process share anything with this one
 	keeping   chan struct{}      // calls that change the file go one by one
 	followAt  time.Time
@@ -217,6 +219,9 @@
 	if s.manage != nil {
 		defer s.manage.Close()
 	}
+	if s.beside != nil {
+		defer s.beside.Close()
+	}
 	defer close(s.over)
 	var exitBy time.Time
 	for {
@@ -280,7 +285,7 @@
 	cfg.Zero = s.cfg.Zero
 	s.cfg = cfg
 	s.counters.Reloads++
-	s.limit.Store(min(s.descriptors(cfg), int64(nbio.MaxOpenFiles)-moreFiles/2))
+	s.limit.Store(min(s.descriptors(cfg)-s.others.Sockets, int64(nbio.MaxOpenFiles)-moreFiles/2))
 	cfg.SetLimits()
 	if s.door != nil {
 		s.door.limit(int(s.limit.Load()), cfg.MemoryMB)
@@ -402,7 +407,8 @@
 	if now.After(s.checkAt) {
 		s.checkAt = now.Add(checkEvery)
 		used = int64(heap())
-		s.short = s.basic().MemoryShort(used, int64(s.cfg.MemoryMB)<<20)
+		s.meet(used)
+		s.short = s.basic().MemoryShort(used+s.others.Memory, int64(s.cfg.MemoryMB)<<20)
 		s.said.Flush(now)
 	}
 	grace := time.Duration(0)
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -45,6 +45,25 @@
 	Descriptors          int // the process's hard limit; 0: as many as this process may have
 	Inherited            int // descriptors that it holds from the start and knows nothing of
 	Args                 []string
+	Env                  []string
+	Management           string   // where operators call it; it has started once it says yes to status
+	Listener             *os.File // the listening socket that it inherits as descriptor 3
+}
+
+// Call is an operator's call: one line there, one line back.
+func Call(addr, line string) string {
+	c, err := net.DialTimeout("tcp", addr, time.Second)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(time.Second))
+	fmt.Fprint(c, line+"\r\n")
+	answer, err := bufio.NewReader(c).ReadString('\n')
+	if err != nil {
+		return fmt.Sprintf("%q, %v", answer, err)
+	}
+	return strings.TrimRight(answer, "\r\n")
 }
 
 // Start runs Binary serve until the world ends, and returns once it answers PING.
@@ -56,6 +75,14 @@
 	p := &Process{Addr: addr, over: make(chan struct{})}
 	p.cmd = exec.Command("/bin/sh", append([]string{"-c", line, l.Binary, "serve", "--config", l.Config}, l.Args...)...)
 	p.cmd.Stdout, p.cmd.Stderr = &p.log, &p.log
+	p.cmd.Env = append(os.Environ(), l.Env...)
+	if l.Management != "" {
+		p.cmd.Env = append(p.cmd.Env, "PROXY_MANAGEMENT="+l.Management)
+	}
+	if l.Listener != nil {
+		p.cmd.ExtraFiles = []*os.File{l.Listener}
+		p.cmd.Env = append(p.cmd.Env, "PROXY_FD=3")
+	}
 	if l.Inherited > 0 {
 		null, err := os.Open(os.DevNull)
 		if err != nil {
@@ -72,7 +99,10 @@
 	w.OnClose(func() { p.Kill() })
 	w.Go(func() { p.err = p.cmd.Wait(); close(p.over) })
 	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
-		if ping(addr) {
+		switch {
+		case l.Management == "" && Ping(addr) == "PONG":
+			return p, nil
+		case l.Management != "" && strings.HasPrefix(Call(l.Management, "status"), "+OK"):
 			return p, nil
 		}
 		select {
@@ -84,16 +114,17 @@
 	return nil, fmt.Errorf("no PONG within 10 s\n%s", p.Log())
 }
 
-func ping(addr string) bool {
+// Ping is the front's question, and what comes back.
+func Ping(addr string) string {
 	c, err := net.DialTimeout("tcp", addr, time.Second)
 	if err != nil {
-		return false
+		return ""
 	}
 	defer func() { _ = c.Close() }()
 	_ = c.SetDeadline(time.Now().Add(time.Second))
 	fmt.Fprint(c, "PING\r\n")
 	line, _ := bufio.NewReader(c).ReadString('\n')
-	return line == "PONG\r\n"
+	return strings.TrimRight(line, "\r\n")
 }
 
 // Log is what the process has written so far.
--- a/internal/standin/terminal.go
+++ b/internal/standin/terminal.go
@@ -127,6 +127,16 @@
 	return nil
 }
 
+// Moved waits until the terminal is told to come again; anything else is an error.
+func (t *Terminal) Moved(wait time.Duration) error {
+	_ = t.conn.SetReadDeadline(time.Now().Add(wait))
+	line, err := t.in.ReadString('\n')
+	if err == nil && line != "MOVE\r\n" {
+		err = fmt.Errorf("%q in place of MOVE", line)
+	}
+	return err
+}
+
 // ErrMoved tells that the terminal was told to come again.
 var ErrMoved = errors.New("moved")
 
--- a/policy/api.go
+++ b/policy/api.go
@@ -57,6 +57,7 @@
 
 	MaxAttempts    int
 	Probes         bool // Probe actions are allowed
+	Beside         int  // further processes that place for this balancer, in an upgrade
 	RetryAfter     bool // clients are told the RetryAfter of a Refuse
 	MaxRetryAfter  time.Duration
 	PullList       bool          // list changes come only to a subscriber
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -183,7 +183,7 @@
 // would save one up, and those together can be more than the server bears. Each keeps its phase.
 func (b *Balancer) budget(s *server) float64 {
 	rate := coldPart * b.cfg.FallMultiple / max(b.step(s), 1e-3) // the step is of what it can do now
-	rate /= b.cfg.ColdTime.Seconds() * float64(b.cfg.Balancers)
+	rate /= b.cfg.ColdTime.Seconds() * float64(b.cfg.Balancers*(1+b.cfg.Beside))
 	s.tokens += rate * (b.now - s.tokensAt).Seconds()
 	if over := s.tokens - 1 - rate*b.cfg.FallTime.Seconds()/4; over > 0 {
 		s.tokens -= math.Ceil(over)
@@ -409,7 +409,7 @@
 // lot gives one choice its chance of a room that all balancers see.
 func (b *Balancer) lot(room float64) bool {
 	b.demand, b.demandAt = 1+b.demand*math.Exp(-(b.now-b.demandAt).Seconds()), b.now
-	wanted := b.demand * float64(b.cfg.Balancers) / float64(b.roomy()) * b.shows().Seconds()
+	wanted := b.demand * float64(b.cfg.Balancers*(1+b.cfg.Beside)) / float64(b.roomy()) * b.shows().Seconds()
 	return b.rng.Float64()*wanted < room
 }
 
