Give a server that is back from a drain the next newcomer

Its balancer made 24 set-ups in that time, all to the one server of its own zone; draw weighs other zones by exp(-40 x price) on the first draw, so at thin traffic a far server is hardly ever drawn. Excluded: cold budget (13 sends a second), the ban itself (lifted at the call).

Change: the module gives the next newcomer to a server that went from draining to live, if it is usable and a set-up may start (policy.go, arrive); one taken back while it is away is shown draining first once it is listed.

--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -80,22 +80,47 @@
 	}
 	if ev.On {
 		r.maint[ev.Region] = true
+		delete(r.returning, ev.Region)
 	} else {
 		delete(r.maint, ev.Region)
 	}
-	if g := r.regions[ev.Region]; g != nil && g.listed == policy.Live {
+	switch g := r.regions[ev.Region]; {
+	case g == nil && !ev.On:
+		r.returning[ev.Region] = true // away just now: once listed, it comes back as the others do, out of a drain
+	case g != nil && g.listed == policy.Live:
 		if g.State = policy.Live; ev.On {
 			g.State = policy.Draining
 		}
-		servers := make([]policy.Server, 0, len(r.regions))
-		for _, id := range slices.Sorted(maps.Keys(r.regions)) {
-			servers = append(servers, r.regions[id].Server)
-		}
-		r.feed(policy.ServerList{Kind: policy.ListCached, Servers: servers})
+		r.relist()
 	}
 	r.makeWay(ev.Region, ev.On, clearance{r.now, r.now + clearIn})
 }
 
+// takeBack ends the drain of regions that were taken back while they were away, once they are listed.
+func (r *Reducer) takeBack() {
+	found := false
+	for id := range r.returning {
+		if g := r.regions[id]; g != nil {
+			delete(r.returning, id)
+			if g.listed == policy.Live {
+				g.State, found = policy.Live, true
+			}
+		}
+	}
+	if found {
+		r.relist()
+	}
+}
+
+// relist tells the module all regions as they are now.
+func (r *Reducer) relist() {
+	servers := make([]policy.Server, 0, len(r.regions))
+	for _, id := range slices.Sorted(maps.Keys(r.regions)) {
+		servers = append(servers, r.regions[id].Server)
+	}
+	r.feed(policy.ServerList{Kind: policy.ListCached, Servers: servers})
+}
+
 // drain begins or ends the standby. Where packets pass through, standing terminals go on.
 func (r *Reducer) drain(on bool) {
 	if r.standby == on {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -84,6 +84,7 @@
 	regions    map[string]*region
 	listed     bool
 	maint      map[string]bool // regions that operators leave out
+	returning  map[string]bool // taken back, and not listed since
 	known      known
 	standby    bool
 	clearing   bool                 // the timer for it is set
@@ -110,7 +111,7 @@
 	}
 	r := &Reducer{module: module, open: map[Handle]*transaction{}, quiet: map[Handle]struct{}{},
 		byID: map[string]*transaction{}, regions: map[string]*region{},
-		maint: map[string]bool{}, clears: map[string]clearance{}}
+		maint: map[string]bool{}, returning: map[string]bool{}, clears: map[string]clearance{}}
 	r.configure(cfg)
 	return r, nil
 }
@@ -649,7 +650,7 @@
 	named := make(map[string]bool, len(ev.Regions))
 	for _, g := range ev.Regions {
 		listed := g.State
-		if listed == policy.Live && r.maint[g.ID] {
+		if listed == policy.Live && (r.maint[g.ID] || r.returning[g.ID]) {
 			g.State = policy.Draining
 		}
 		servers = append(servers, g.Server)
@@ -675,6 +676,7 @@
 		}
 	}
 	r.feed(policy.ServerList{Kind: ev.Kind, Servers: servers})
+	r.takeBack()
 	for _, t := range r.inOrder() {
 		if t.at != "" {
 			r.goBack(t)
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -88,7 +88,7 @@
 		return err
 	}
 	p := c.Core.Policy
-	a.ComeBack.Advise = a.ComeBack.Advise && p.RetryAfter
+	a.ComeBack.Advise = a.ComeBack.Advise && p.MaxRetryAfter > 0
 	if p.MaxRetryAfter > 0 {
 		a.ComeBack.Most = min(a.ComeBack.Most, p.MaxRetryAfter)
 		a.ComeBack.Least = min(a.ComeBack.Least, a.ComeBack.Most)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -26,7 +26,6 @@
 		Tick:           f.Millis("granularity-ms"),
 		MaxAttempts:    f.Integer("limits.max-attempts"),
 		Probes:         f.Flag("limits.probes") && f.Text("reporting.how") != "silent",
-		RetryAfter:     f.Flag("limits.retry-after"),
 		MaxRetryAfter:  f.Millis("limits.max-retry-after-ms"),
 		PullList:       f.Text("membership-mode") == "on_request",
 		AskWithin:      f.Millis("rules.ask-every-ms"),
@@ -36,6 +35,9 @@
 		FallMultiple:   f.Number("rules.fall-multiple"),
 		FallTime:       f.Millis("rules.tip-after-ms"),
 	}
+	if !f.Flag("limits.retry-after") {
+		c.MaxRetryAfter = 0
+	}
 	messageAims := numberList(f, "family-info.message-aim-ms")
 	for i := range count(f, "classes") {
 		c.Classes = append(c.Classes, class(f, fmt.Sprintf("classes.%d.", i), at(messageAims, i)))
--- a/policy/api.go
+++ b/policy/api.go
@@ -56,10 +56,9 @@
 	Tick      time.Duration // smallest useful timer
 
 	MaxAttempts    int
-	Probes         bool // Probe actions are allowed
-	Beside         int  // further processes that place for this balancer, in an upgrade
-	RetryAfter     bool // clients are told the RetryAfter of a Refuse
-	MaxRetryAfter  time.Duration
+	Probes         bool          // Probe actions are allowed
+	Beside         int           // further processes that place for this balancer, in an upgrade
+	MaxRetryAfter  time.Duration // of a Refuse; 0 where clients are told none
 	PullList       bool          // list changes come only to a subscriber
 	AskWithin      time.Duration // an unsubscribed balancer has to ask again within this time
 	CrossZonePrice float64       // price of one crossing of zones, as a part of a request's worth
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -259,7 +259,8 @@
 	return b.cfg.Balancers >= 4*len(zones)
 }
 
-// arrive takes a new request. The client of a moved connection goes where the move meant it to.
+// arrive takes a new request. The client of a moved connection goes where the move meant it to, a newcomer
+// to a server that is back from a drain: far or cold, it would hardly be drawn at thin traffic.
 func (b *Balancer) arrive(q Request) {
 	k := b.classes[q.Class]
 	switch {
@@ -273,6 +274,8 @@
 	if p, ok := b.plans[q.Key]; ok && b.now < p.until {
 		r.plan = p
 		delete(b.plans, q.Key)
+	} else if len(b.back) > 0 && !q.MidFlow && b.mayStart() && b.usable(b.back[0], r) {
+		r.target, b.back = b.back[0], b.back[1:]
 	}
 	b.place(r)
 }
@@ -477,11 +480,7 @@
 func (b *Balancer) finish(r *request) {
 	k := r.class
 	if r.ranAt < 0 || k.Effect == Safe || k.Effect == Keyed && k.Scope == ScopeAll {
-		after := time.Duration(0)
-		if b.cfg.RetryAfter {
-			after = b.cfg.MaxRetryAfter/2 + b.jitter(b.cfg.MaxRetryAfter/2)
-		}
-		b.do(Refuse{r.ID, after})
+		b.do(Refuse{r.ID, b.cfg.MaxRetryAfter/2 + b.jitter(b.cfg.MaxRetryAfter/2)})
 	} else {
 		b.do(Fail{r.ID})
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -72,7 +72,8 @@
 	requests               map[string]*request
 	held, conns            []*request // no attempt out, by arrival; open, by set-up
 	plans                  map[string]plan
-	t                      int // explore slots so far
+	back                   []*server // back from a drain, and not sent to since
+	t                      int       // explore slots so far
 	started, exploring     bool
 	subscribed             bool
 	slotAt, askAt, askWait time.Duration
@@ -167,6 +168,9 @@
 			b.servers[e.ID] = s
 			b.order = append(b.order, s)
 		}
+		if s.State == Draining && e.State == Live {
+			b.back = append(b.back, s)
+		}
 		s.Server = e
 		if e.Started > s.coldSince && b.now-e.Started < b.cfg.ColdTime {
 			b.chill(s, e.Started)
@@ -181,6 +185,7 @@
 		}
 	}
 	b.order = slices.DeleteFunc(b.order, func(s *server) bool { return s.State == Gone })
+	b.back = slices.DeleteFunc(b.back, func(s *server) bool { return s.State != Live })
 	slices.SortFunc(b.order, func(x, y *server) int { return cmp.Compare(x.ID, y.ID) })
 }
 
