Keep accepting on an inherited socket from waiting in the kernel

Cause, found by a burst at SIGTERM in the upgrade test: the old process stood still for two seconds, and three to five requests got no answer. Whether a call to a socket waits belongs to the open file, which all processes share; handing the listener on can switch that (os/exec does, by Fd), and then the old process's thread stays in accept4 until another connection comes, while the listener's closing waits for that thread on the loop's goroutine.

Change: an inherited listener is accepted from by acceptRaw, which sets the property before each call (door.go, listener.go). Taken out on the way: doing so by the listener's own raw connection, which can't read (EINVAL).

--- a/cmd/oatloft/day_test.go
+++ b/cmd/oatloft/day_test.go
@@ -264,6 +264,21 @@
 		s.call("maint-on r2", "+OK") // known to the new one, and in force before its yes
 		time.Sleep(100 * time.Millisecond)
 		began := time.Now()
+		for i := range 60 { // a burst is in the queue when the signal comes
+			wait.Add(1)
+			go func() {
+				defer wait.Done()
+				c, err := s.Connect("", s.launch.Addr)
+				if err != nil {
+					t.Error("at the door:", err)
+					return
+				}
+				if a := c.Open(standin.Ask{Key: fmt.Sprintf("burst%d-%d", round, i)}); a.What != "UP" && a.What != "BUSY" {
+					t.Error("in the burst:", a)
+				}
+				c.Break()
+			}()
+		}
 		old.Signal(syscall.SIGTERM)
 		same := 0
 		for key, c := range standing {
@@ -283,6 +298,19 @@
 			t.Errorf("the old process: %v after %v\n%s", err, time.Since(began), old.Log())
 		}
 	}
+	// A file that is damaged, or a later version's, is one line and an empty start, and no more.
+	s.Saw(rules.Told, "", "r2", "ready")
+	for _, name := range []string{"maintenance", "left"} {
+		s.write(filepath.Join(s.dir, "oatloft-n1-"+name+".json"), `{"form":"oatloft","version":9}`)
+	}
+	old := s.upgrade()
+	if strings.Count(s.p.Log(), "not read") != 2 {
+		t.Error("files of a later version:", s.p.Log())
+	}
+	old.Signal(syscall.SIGTERM)
+	if err := old.Over(4 * time.Second); err != nil {
+		t.Error(err)
+	}
 	// One that can't start leaves the other at work.
 	bad := s.launch
 	bad.Config, bad.Management = filepath.Join(s.dir, "none.json"), ""
--- a/internal/net/door.go
+++ b/internal/net/door.go
@@ -43,10 +43,11 @@
 
 // door is asked by the accepting goroutine, by nbio's for ends, and by the reducer's.
 type door struct {
-	now  func() time.Duration
-	log  *slog.Logger
-	said *logs.Limited
-	cfg  Admission
+	shared bool // other processes hold the listener as well
+	now    func() time.Duration
+	log    *slog.Logger
+	said   *logs.Limited
+	cfg    Admission
 
 	refusedInTurn int // of the accepting goroutine alone, as is the pause
 	pause         *pause
@@ -119,7 +120,7 @@
 			d.refusedInTurn = 0
 			d.pause.rest(refusalRest)
 		}
-		fd, from, err := acceptRaw(raw, true)
+		fd, from, err := acceptRaw(raw, true, d.shared)
 		switch {
 		case errors.Is(err, stdnet.ErrClosed):
 			return nil, err
@@ -161,9 +162,16 @@
 
 // acceptRaw takes a connection from the listener without what the standard library does for each: most of those
 // that are refused live for three calls to the system. It waits for one if told to.
-func acceptRaw(l syscall.RawConn, wait bool) (fd int, from netip.Addr, err error) {
+//
+// Whether a call to a socket waits is a property that all processes share which hold it. Whoever hands a listener to the
+// next process may make it wait by that (os/exec does), and this one's thread would then stay in accept4 until another
+// connection comes, and hold up the listener's closing. So that is set anew before each call.
+func acceptRaw(l syscall.RawConn, wait, shared bool) (fd int, from netip.Addr, err error) {
 	closed := l.Read(func(s uintptr) bool {
 		var sa syscall.Sockaddr
+		if shared {
+			_ = syscall.SetNonblock(int(s), true)
+		}
 		for {
 			if fd, sa, err = syscall.Accept4(int(s), syscall.SOCK_NONBLOCK|syscall.SOCK_CLOEXEC); !errors.Is(err, syscall.EINTR) {
 				break
@@ -202,7 +210,7 @@
 // turnAway answers a connection that the process has no descriptor for: the spare ones make room for it.
 func (d *door) turnAway(l syscall.RawConn) {
 	d.starved(true)
-	fd, from, err := acceptRaw(l, false)
+	fd, from, err := acceptRaw(l, false, d.shared)
 	if err == nil {
 		d.mu.Lock()
 		v := d.gate.Refusal(d.now(), admission.Exhaustion)
--- a/internal/net/listener.go
+++ b/internal/net/listener.go
@@ -19,7 +19,7 @@
 type gate struct {
 	stdnet.Listener
 	s    *Server
-	file *os.File // the same socket, for the door: a listener of the standard library lets nobody else accept
+	file *os.File // the same socket, where we accept by ourselves: a listener of the standard library lets nobody else
 }
 
 // listen opens the listener that nbio accepts from.
@@ -31,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.door == nil {
+	if s.door == nil && s.inherit == nil {
 		s.listener = gate{Listener: l, s: s}
 		return s.listener, nil
 	}
@@ -105,7 +105,7 @@
 	}
 	for {
 		if g.s.basic().MayOpen(int(g.s.sockets.Load())) {
-			c, err := g.Listener.Accept()
+			c, err := g.take()
 			if err == nil || errors.Is(err, stdnet.ErrClosed) {
 				return c, err
 			}
@@ -114,6 +114,26 @@
 	}
 }
 
+// take accepts one connection.
+func (g gate) take() (stdnet.Conn, error) {
+	if g.file == nil {
+		return g.Listener.Accept()
+	}
+	raw, err := g.file.SyscallConn()
+	if err != nil {
+		return nil, stdnet.ErrClosed
+	}
+	fd, _, err := acceptRaw(raw, true, true)
+	if err != nil {
+		return nil, err
+	}
+	c, err := asConn(fd)
+	if err != nil {
+		_ = syscall.Close(fd)
+	}
+	return c, err
+}
+
 // basic are the limits that hold where no admission is configured.
 func (s *Server) basic() admission.Basic { return admission.Basic{Limit: int(s.limit.Load())} }
 
--- a/internal/net/play_test.go
+++ b/internal/net/play_test.go
@@ -35,6 +35,7 @@
 //	gone NAME        NAME can send nothing more
 //	narrow NAME N    NAME takes no more than about N bytes before it reads
 //	wait MS, leave, ended, down REGION, fill N; sockets N and memory N set limits
+//	management       operators may call (a line of its own): op1, op2 ... are callers
 //	reload ADDR      the configuration is read again, with discovery at ADDR
 type play struct {
 	t       *testing.T
@@ -51,6 +52,8 @@
 	limit   time.Duration
 }
 
+var operated = regexp.MustCompile(`(?m)^management$`)
+
 var limits = regexp.MustCompile(`(?m)^(sockets|memory) (\d+)$`)
 
 type peer struct {
@@ -73,7 +76,7 @@
 			}
 			p := start(t, string(text))
 			for n, line := range strings.Split(string(text), "\n") {
-				if line == "" || line[0] == '#' || limits.MatchString(line) {
+				if line == "" || line[0] == '#' || limits.MatchString(line) || operated.MatchString(line) {
 					continue
 				}
 				if err := p.step(p.vars.Replace(line)); err != nil {
@@ -117,6 +120,9 @@
 			cfg.MemoryMB = n
 		}
 	}
+	if operated.MatchString(text) {
+		cfg.Management, cfg.State = "127.0.0.1:0", t.TempDir()
+	}
 	if p.server, err = New(cfg, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
@@ -171,7 +177,11 @@
 	case strings.HasPrefix(name, "watch"):
 		from = p.watches
 	case !strings.HasPrefix(name, "task"):
-		c, err := stdnet.Dial("tcp", p.addr)
+		addr := p.addr
+		if strings.HasPrefix(name, "op") {
+			addr = p.server.manage.Addr()
+		}
+		c, err := stdnet.Dial("tcp", addr)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -110,6 +110,9 @@
 	if err := s.open(); err != nil {
 		return nil, err
 	}
+	if s.door != nil {
+		s.door.shared = s.inherit != nil
+	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -679,3 +679,36 @@
 		t.Errorf("of 40 in mid-flow %d were kept at a load of 0.3, %d at 0.85", low, high)
 	}
 }
+
+// In an upgrade two processes send to a cold server for one balancer: each takes half of its part.
+func TestColdBudgetIsSharedBesides(t *testing.T) {
+	sent := func(beside int) (n int) {
+		b, err := New(Config{Zone: "a", Balancers: 2, MaxAttempts: 2, Probes: true, PullList: true, Beside: beside,
+			AskWithin: 10 * time.Second, ColdShare: 0.4, ColdTime: 8 * time.Second, FallMultiple: 4, FallTime: 3 * time.Second,
+			Classes: []Class{{Name: "chat", Aim: 800 * time.Millisecond}}}, 5)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Hour
+		b.Step(now, ServerList{Kind: ListFull, Servers: []Server{{ID: "s", Zone: "a", Weight: 1, Started: now}}}, nil)
+		for i := range 400 {
+			now += 10 * time.Millisecond
+			out := b.Step(now, Request{ID: fmt.Sprint(i), Key: fmt.Sprint(i), Class: "chat", Patience: 700 * time.Millisecond}, nil)
+			out = b.Step(now, Wake{Token: "tick"}, out)
+			for j := 0; j < len(out); j++ {
+				switch a := out[j].(type) {
+				case Probe:
+					out = b.Step(now, ProbeResult{Server: a.Server, Result: OK, Report: &Report{Load: 0.2, InFlight: 20, Busy: -1, Backlog: -1}}, out)
+				case Send:
+					n++
+					out = b.Step(now, Established{ID: a.ID, Server: a.Server}, out)
+				}
+			}
+		}
+		return n
+	}
+	alone, both := sent(0), sent(1)
+	if alone < 4 || both > alone*2/3 {
+		t.Fatalf("%d alone, %d for each of two", alone, both)
+	}
+}
