Let nobody in admission make room for itself

It could be picked up and sent off at once.

Change: it is taken out of the silent ones while one is chosen.

--- a/internal/admission/gate.go
+++ b/internal/admission/gate.go
@@ -359,7 +359,7 @@
 		x.rank = Stranger
 	}
 	x.tenant = g.tenants[who.Tenant]
-	if r := g.judge(x); r != Admitted {
+	if r := g.judge(x, t.place()); r != Admitted {
 		if x.rank != Known && !x.exempt && r != NoMemory && r != NoDescriptor {
 			// Whoever asks on and on for what there is not costs more than who is turned away at the door.
 			g.peers.charge(x.peer, g.now, g.cfg.Address.NewPerSecond, g.cfg.Address.Burst)
@@ -386,7 +386,7 @@
 }
 
 // judge is the order of sacrifice for transactions.
-func (g *Gate) judge(x *ticket) Reason {
+func (g *Gate) judge(x *ticket, i int32) Reason {
 	l := &g.ledger
 	beyond := g.beyond(x)
 	switch {
@@ -406,7 +406,7 @@
 			return ReserveKept
 		}
 		return NoDescriptor
-	case l.over(1-slack) || l.over(1) && !g.makeRoom(true, 0):
+	case l.over(1-slack) || l.over(1) && !g.makeRoomFor(i):
 		return NoDescriptor
 	}
 	return Admitted
@@ -557,6 +557,14 @@
 	return true
 }
 
+// makeRoomFor chooses one for a silent terminal whose transaction needs a descriptor more: anybody but itself.
+func (g *Gate) makeRoomFor(i int32) bool {
+	g.silent.remove(g, i)
+	ok := g.makeRoom(true, 0)
+	g.silent.add(g, i)
+	return ok
+}
+
 func (g *Gate) sendOff(i int32, why Reason) {
 	g.Counters.Refused[why]++
 	g.tickets[i].victim = true
--- a/internal/admission/gate_test.go
+++ b/internal/admission/gate_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -387,3 +389,51 @@
 		runtime.KeepAlive(g)
 	}
 }
+
+// Whoever asks for a descriptor more is not itself the one that makes room for it, even where it is the oldest silent one.
+func TestNobodyMakesRoomForItself(t *testing.T) {
+	cfg := small()
+	cfg.Network.NewPerSecond, cfg.Network.Burst = 1e6, 1<<20
+	cfg.Reserve.StandFor = time.Millisecond
+	found := false
+	for seed := range uint64(400) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		g, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		g.Limit(20+rng.IntN(20), 0)
+		now, owed := time.Second, map[Ticket]bool{}
+		var all []Ticket
+		for range 200 {
+			now += time.Duration(rng.IntN(200)) * time.Millisecond
+			switch rng.IntN(6) {
+			case 0, 1, 2:
+				if tk, v := g.Accept(now, netip.AddrFrom4([4]byte{10, byte(rng.IntN(7)), 1, byte(rng.IntN(3))})); v.OK() {
+					all = append(all, tk)
+				}
+			case 3, 4:
+				if len(all) > 0 {
+					tk := all[rng.IntN(len(all))]
+					if !owed[tk] && g.Request(now, tk, Who{fmt.Sprint(rng.IntN(10)), "acme"}).OK() {
+						owed[tk] = true
+						g.Stood(now, tk)
+					}
+				}
+			case 5:
+				g.Tick(now)
+			}
+			for _, v := range slices.Clone(g.Victims()) {
+				found = true
+				if owed[v.Ticket] {
+					t.Fatalf("seed %d: a terminal that was picked up is sent off", seed)
+				}
+				g.Closed(now, v.Ticket)
+				all = slices.DeleteFunc(all, func(o Ticket) bool { return o == v.Ticket })
+			}
+		}
+	}
+	if !found {
+		t.Fatal("nobody had to make room")
+	}
+}
