Let oatctl make the operators' calls

Need: tried as a new user would, the on-call page began with nc, which a machine need not have. Change: oatctl status, maint-on ID, maint-off ID, standby and active call a balancer (--at or PROXY_MANAGEMENT), print its words, and exit 1 after a no. Shown: each call by hand against the example's balancer (yes, no for an unknown id, standby, back), a test with a service that answers in another form. Nothing on the balancer's side changed.

--- a/cmd/oatctl/main.go
+++ b/cmd/oatctl/main.go
@@ -1,4 +1,4 @@
-// Command oatctl is for the operator's desk: it checks and compiles what balancers run on. It may use libraries
+// Command oatctl is for the operator's desk: it checks and compiles what balancers run on, and calls them. It may use libraries
 // that would weigh on a balancer; it must never be needed while one serves.
 package main
 
@@ -18,6 +18,11 @@
 		Compile compile `cmd:"" help:"Check a file of settings and write what a balancer reads (serve --edge)."`
 		Show    show    `cmd:"" help:"Print settings with every default in sight; without a file, the defaults."`
 	} `cmd:"" help:"Our own settings, deploy/edge.cue."`
+	Status   status   `cmd:"" help:"Ask a balancer whether it takes clients."`
+	MaintOn  maintOn  `cmd:"" help:"Have a balancer leave a server out."`
+	MaintOff maintOff `cmd:"" help:"Have it use that server again."`
+	Standby  standby  `cmd:"" help:"Drain a balancer."`
+	Active   active   `cmd:"" help:"Have it take clients again."`
 }
 
 type check struct {
@@ -77,7 +82,7 @@
 }
 
 func main() {
-	ctx := kong.Parse(&flags{}, kong.Name("oatctl"), kong.Description("Checks and compiles what oatloft balancers run on."))
+	ctx := kong.Parse(&flags{}, kong.Name("oatctl"), kong.Description("Checks and compiles what oatloft balancers run on, and calls them."))
 	if err := ctx.Run(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/management/management_test.go
+++ b/internal/management/management_test.go
@@ -145,3 +145,28 @@
 		}
 	})
 }
+
+// A tool's call tells yes, no and what is neither apart.
+func TestAsk(t *testing.T) {
+	s, _ := serve(t, nil)
+	for call, want := range map[string]Answer{"status": {true, "status "}, "maint-on": {false, "maint-on needs the id of a server"}} {
+		if a, err := Ask(s.Addr(), call); err != nil || a != want {
+			t.Errorf("%s: %+v %v", call, a, err)
+		}
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	go func() {
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			_, _ = c.Read(make([]byte, 64))
+			_, _ = io.WriteString(c, "HTTP/1.1 400 Bad Request\r\n")
+			_ = c.Close()
+		}
+	}()
+	if a, err := Ask(l.Addr().String(), "status"); err == nil {
+		t.Error("another service's answer passed as", a)
+	}
+}
