Take out a question to the reducer that nobody asks

Seen on reading the change again: Lists (operators.go) has no caller, since a call about a region that is gone gets its yes from Known. Change: it is gone. go vet and the core's tests pass; nothing to measure.

--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -46,15 +46,12 @@
 	}
 }
 
-// Known tells whether a region was ever listed, KnownRegions names all that were.
+// Known tells whether a region was ever listed.
 func (r *Reducer) Known(id string) bool { return r.known.ids[id] || r.maint[id] }
 
 // KnownRegions names all regions that were ever listed.
 func (r *Reducer) KnownRegions() []string { return r.known.order }
 
-// Lists tells whether discovery lists a region now.
-func (r *Reducer) Lists(id string) bool { return r.regions[id] != nil }
-
 // Maintained names the regions that are left out.
 func (r *Reducer) Maintained() []string { return slices.Sorted(maps.Keys(r.maint)) }
 
