Have the handover's fuzz target fail on files that must not pass

Seen on reading the change again: the target only asked that a file that passed hold the form's name, which every one does that decodes, so it could hardly fail. Change: what passes is read a second time by plain names and has to be of this version, this balancer's and as summed up; three altered files are among the seeds.

--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -1,8 +1,10 @@
 package handover
 
 import (
-	"bytes"
+	"encoding/json"
 	"errors"
+	"fmt"
+	"hash/crc32"
 	"os"
 	"slices"
 	"strings"
@@ -99,10 +101,20 @@
 	}
 	good, _ := os.ReadFile(d.file(maintenance))
 	f.Add(good)
+	for _, change := range [][2]string{{`"x"`, `"z"`}, {`"version":1`, `"version":2`}, {`"n1"`, `"n2"`}} {
+		f.Add([]byte(strings.Replace(string(good), change[0], change[1], 1)))
+	}
 	f.Add([]byte(`{"form":"oatloft","version":1,"kind":"maintenance","balancer":"n1","body":null}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var m Maintenance
-		if _, err := d.decode(data, maintenance, &m); err == nil && !bytes.Contains(data, []byte(form)) {
+		if _, err := d.decode(data, maintenance, &m); err != nil {
+			return
+		}
+		// What passes is this balancer's, of this version, and what was summed up: read straight, by names.
+		var e map[string]json.RawMessage
+		sum := func() string { return fmt.Sprint(crc32.ChecksumIEEE(e["body"])) }
+		if err := json.Unmarshal(data, &e); err == nil && len(e) == 7 &&
+			(string(e["version"]) != "1" || string(e["crc32"]) != sum() || string(e["balancer"]) != `"n1"`) {
 			t.Fatalf("%q passed", data)
 		}
 	})
