Keep a group's spill in the group's own order instead of drawing afresh

Each server that holds some of a group there works three mean connections for it, and with 33 to 56 members a group fifteen groups over nine servers cost up to half as much again as the connections themselves. Where the first two servers of a group were full, draw() took a fresh salt (policy.go, the line "salt = b.rng.Uint64()" for draws after the first): the overflow of each group landed on all servers.

--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -712,3 +712,28 @@
 		t.Fatalf("%d alone, %d for each of two", alone, both)
 	}
 }
+
+// Where each server that holds some of a group works for the whole of it (three mean connections on the second
+// deployment), fresh later draws spread a group whose first two servers were full over all servers.
+func TestAGroupSpillsInOneOrderAtEveryBalancer(t *testing.T) {
+	one, other := newRig(t, testConfig(), servers(12)...), newRig(t, testConfig(), servers(12)...)
+	other.b.rng.Uint64() // another random state, as another balancer has
+	for g := range 20 {
+		r := &request{Request: Request{Group: fmt.Sprint("g", g), Key: "k"}, class: one.b.classes["safe"], ranAt: -1}
+		q := *r
+		q.Key = "another member's"
+		met := map[string]bool{}
+		for draw := range 4 {
+			here, there := one.b.draw(r), other.b.draw(&q)
+			for i, s := range here {
+				if s.ID != there[i].ID {
+					t.Fatalf("group %d draws %s here and %s there, draw %d", g, s.ID, there[i].ID, draw)
+				}
+				met[s.ID] = true
+			}
+		}
+		if len(met) != 6 {
+			t.Errorf("group %d met %d servers in four draws, want the first six of its order", g, len(met))
+		}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,35 +218,32 @@
 	return 2*len(bad) > len(b.order)
 }
 
-// draw picks two servers at random, with less weight for those that cross zones or are cold. The first
-// draw of a request hangs on its group or key alone: groups stay together, and a balancer that gets a
-// connection in mid-flow may find its server, which another one chose. Later draws are fresh, and spill over
-// zones.
-func (b *Balancer) draw(r *request) (drawn []*server) {
+// draw picks two servers at random, with less weight for those that cross zones or are cold. The draws of
+// a group, or the first one of a key, hang on that alone: a balancer that gets a connection in mid-flow may
+// find its server, which another one chose. What a group's first two have no room for goes on by its order of
+// all zones, the same at every balancer: each further server that holds some of a group works for it again.
+func (b *Balancer) draw(r *request) []*server {
 	salt := hashOf(cmp.Or(r.Group, r.Key))
-	if r.draws++; r.draws > 1 || r.Group+r.Key == "" {
+	if r.draws++; r.Group == "" && (r.draws > 1 || r.Key == "") {
 		salt = b.rng.Uint64()
 	}
-	var values [2]float64
 	panicking, near := b.panicking(), r.draws == 1 && (!r.MidFlow || b.shared())
-	for _, s := range b.order {
-		if !b.usable(s, r) || (b.now < s.heldOff && !panicking) {
-			continue
-		}
+	drawn := slices.DeleteFunc(slices.Clone(b.order), func(s *server) bool {
+		return !b.usable(s, r) || (b.now < s.heldOff && !panicking)
+	})
+	for _, s := range drawn {
 		weight := b.ramp(s)
 		if s.Zone != b.cfg.Zone && near {
 			weight *= math.Exp(-40 * b.cfg.CrossZonePrice)
 		}
-		v := -math.Log(mix(s.hash+salt)) / weight
-		switch n := len(drawn); {
-		case n == 0 || v < values[0]:
-			drawn = append([]*server{s}, drawn[:min(n, 1)]...)
-			values = [2]float64{v, values[0]}
-		case n == 1 || v < values[1]:
-			drawn, values[1] = append(drawn[:1], s), v
-		}
+		s.rank = -math.Log(mix(s.hash+salt)) / weight
+	}
+	slices.SortFunc(drawn, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
+	if n := len(drawn); n > 2 && r.draws > 2 {
+		i := 2 * (r.draws - 2) % n
+		drawn[0], drawn[1] = drawn[i], drawn[(i+1)%n]
 	}
-	return drawn
+	return drawn[:min(2, len(drawn))]
 }
 
 // shared tells that a zone has balancers enough for some to be left when others stop: then connections in
--- a/policy/state.go
+++ b/policy/state.go
@@ -13,6 +13,7 @@
 type server struct {
 	Server
 	hash            uint64
+	rank            float64 // in the draw under way
 	doubt           float64 // grows with each overload; its room is divided by 1 + doubt
 	x, step, placed float64 // reading of X, what a mean connection adds, what was added here since
 	known, probing  bool
