Open groups elsewhere only into room, and count newcomers as the load their class told

Lines at fault: admit() and choose() took b.load(s) alone.

Servers tell each connection's load; that was thrown away (LoadChange carried no figure, Scan dropped the note's). Now a running mean by class says what a newcomer adds.

Tests fail without each.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -173,6 +173,7 @@
 	Data  []byte
 	Lines int
 	Load  bool
+	Told  float64 // the load that the last note told, 0 if none
 	Last  Ending
 }
 
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -482,7 +482,7 @@
 func (r *Reducer) notes(t *transaction, b Bytes) {
 	if b.Load {
 		r.Counters.Loads++
-		r.feed(policy.LoadChange{ID: t.ID})
+		r.feed(policy.LoadChange{ID: t.ID, Load: b.Told})
 	}
 }
 
--- a/internal/net/tasks.go
+++ b/internal/net/tasks.go
@@ -62,7 +62,7 @@
 				seen := t.fromRegion.Read(data[len(line):])
 				t.last = seen.Last
 				s.step(core.Up{Of: t.handle, Attempt: l.attempt,
-					Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+					Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load, Told: seen.Told}})
 				return
 			case platform.Busy:
 				how = core.TurnedAway
@@ -96,7 +96,7 @@
 		t.last = seen.Last
 	}
 	s.step(core.Passed{Of: t.handle, FromRegion: true,
-		Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load}})
+		Bytes: core.Bytes{Data: data, Lines: seen.Lines, Load: seen.Load, Told: seen.Told}})
 }
 
 // flushed follows a link that has written all it was given.
--- a/internal/platform/lines.go
+++ b/internal/platform/lines.go
@@ -184,10 +184,20 @@
 	return r
 }
 
+// loadOf reads a load note's figure, 0 where there is none that could be a load.
+func loadOf(line []byte) float64 {
+	_, figure, _ := bytes.Cut(trim(line), []byte(" "))
+	x, err := strconv.ParseFloat(string(figure), 64)
+	if err != nil || !(x > 0) || math.IsInf(x, 0) {
+		return 0
+	}
+	return x
+}
+
 // Scan follows one stream of lines piece by piece, without keeping more of it than a line's beginning.
 type Scan struct {
-	head [8]byte // of the line that has begun
-	n    int     // how much of it came, up to len(head)
+	head [32]byte // of the line that has begun: a load note whole
+	n    int      // how much of it came, up to len(head)
 }
 
 // Between tells that the stream stands between two lines.
@@ -197,7 +207,8 @@
 type Seen struct {
 	Lines int // ends of lines, load notes apart
 	Load  bool
-	Last  Word // Bye or MoveAway where such a line ended in it
+	Told  float64 // by the last load note, in microseconds of work a second; 0 if it is no number above 0
+	Last  Word    // Bye or MoveAway where such a line ended in it
 }
 
 // Read takes the next piece.
@@ -217,7 +228,10 @@
 		}
 		switch w := WordOf(s.head[:s.n]); w {
 		case Load:
-			seen.Load = true
+			seen.Load, seen.Told = true, loadOf(s.head[:s.n])
+			if s.n == len(s.head) { // its figure may have been cut
+				seen.Told = 0
+			}
 		case Bye, MoveAway:
 			seen.Last = w
 			seen.Lines++
--- a/internal/platform/platform_test.go
+++ b/internal/platform/platform_test.go
@@ -50,15 +50,28 @@
 		for rest := []byte(text); len(rest) > 0; rest = rest[min(size, len(rest)):] {
 			seen := s.Read(rest[:min(size, len(rest))])
 			sum.Lines += seen.Lines
-			sum.Load = sum.Load || seen.Load
+			sum.Load, sum.Told = sum.Load || seen.Load, max(sum.Told, seen.Told)
 			sum.Last = max(sum.Last, seen.Last)
 		}
-		if sum != (Seen{Lines: 4, Load: true, Last: MoveAway}) || s.Between() {
+		if sum != (Seen{Lines: 4, Load: true, Told: 12.5, Last: MoveAway}) || s.Between() {
 			t.Fatalf("pieces of %d: %+v", size, sum)
 		}
 	}
 }
 
+// A load note tells a figure above 0, or nothing: cut, negative and endless ones are no loads.
+func TestLoadNotes(t *testing.T) {
+	for line, want := range map[string]float64{
+		"LOAD 12.5": 12.5, "LOAD 1e6": 1e6, "LOAD": 0, "LOAD ": 0, "LOAD -3": 0, "LOAD 0": 0, "LOAD inf": 0, "LOAD nan": 0,
+		"LOAD 7 8": 0, "LOAD 1" + strings.Repeat("0", 60): 0,
+	} {
+		var s Scan
+		if seen := s.Read([]byte(line + "\r\n")); !seen.Load || seen.Told != want || seen.Lines != 0 {
+			t.Errorf("%q: %+v, want %v", line, seen, want)
+		}
+	}
+}
+
 // Chunks and lines end anywhere, whatever the pieces that they are read in.
 func TestWatchInPieces(t *testing.T) {
 	zero := time.UnixMilli(1000)
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -210,7 +210,7 @@
 		f.Required("x")
 		switch f.Integer("what") {
 		case 1:
-			return policy.LoadChange{ID: f.Required("id")}
+			return policy.LoadChange{ID: f.Required("id"), Load: f.Number("x")}
 		case 2:
 			return policy.Delay{ID: f.Required("id"), Server: f.Required("server"), Delay: f.Millis("x")}
 		}
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -69,7 +69,7 @@
 		policy.Adopted{Request: policy.Request{ID: "3c30", Class: "map"}, Server: "10.0.0.1:5003"},
 		policy.Established{ID: "3c2f", Attempt: 1, Server: "10.0.0.1:5003", Latency: 18*ms + 500*time.Microsecond},
 		policy.Outcome{ID: "3c2f", Server: "10.0.0.1:5003", Result: policy.Full},
-		policy.LoadChange{ID: "3c2f"},
+		policy.LoadChange{ID: "3c2f", Load: 250},
 		policy.Delay{ID: "3c2f", Server: "10.0.0.1:5003", Delay: 75 * ms},
 		nil,
 		policy.ProbeResult{Server: "10.0.0.1:5003", Result: policy.TimedOut,
--- a/policy/api.go
+++ b/policy/api.go
@@ -205,8 +205,11 @@
 	Final   bool // the request is closed, nothing more is owed
 }
 
-// LoadChange tells that the load of an open connection has changed, and so that its server is alive.
-type LoadChange struct{ ID string }
+// LoadChange tells the load of an open connection, which has changed, and so that its server is alive.
+type LoadChange struct {
+	ID   string
+	Load float64 // work a second, in a unit that is the same for all; 0 or less if unknown
+}
 
 // Delay tells how long a message now takes on the server of an open connection.
 type Delay struct {
--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -737,3 +737,59 @@
 		}
 	}
 }
+
+// A group's member that finds no room where its group stands may open it elsewhere, but only where there is
+// room for more than itself: an overloaded day spread every group over all servers, a tie each time.
+func TestAGroupOpensElsewhereOnlyIntoRoom(t *testing.T) {
+	for _, c := range []struct {
+		here, there float64 // loads of the server with the group, and of the other one
+		sent        string
+	}{{0.5, 0.6, "s00"}, {0.7, 0.75, "s00"}, {0.9, 0.7, ""}, {0.9, 0.3, "s01"}, {0.7, 0.2, "s01"}} {
+		r := newRig(t, testConfig(), servers(2)...)
+		r.loads["s00"], r.loads["s01"] = c.here, c.there
+		for i := range 8 {
+			r.feed(Adopted{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint(i), Group: "g", Class: "safe"}, Server: "s00"})
+		}
+		r.feed(Request{ID: "x", Key: "x", Group: "g", Class: "safe", Patience: 2 * time.Second})
+		r.run(300 * ms)
+		if s, _ := last[Send](r); s.Server != c.sent {
+			t.Errorf("group's server at %v, the other at %v: sent to %q, want %q", c.here, c.there, s.Server, c.sent)
+		}
+		for i := range 8 {
+			r.feed(ClientGone{fmt.Sprint(i)})
+		}
+		if n := r.b.servers["s00"].groups["g"]; c.sent != "s00" && n != 0 {
+			t.Errorf("%d of the group left when all are gone", n)
+		}
+	}
+}
+
+// Classes are uneven: where one asks eight times another's load, a server with room for four mean connections
+// has none for eight of the heavy. Loads are told in any unit; idle connections tell nothing of their class.
+func TestNewcomersCountAsTheirClassTold(t *testing.T) {
+	r := newRig(t, testConfig(), servers(2)...)
+	for i := range 40 {
+		class, load := "safe", 800e3
+		if i%2 == 0 {
+			class, load = "keyed", 100e3
+		}
+		r.feed(Adopted{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint(i), Class: class}, Server: "s00"})
+		r.feed(LoadChange{ID: fmt.Sprint(i), Load: load})
+		r.feed(LoadChange{ID: fmt.Sprint(i)})
+		r.feed(LoadChange{ID: fmt.Sprint(i), Load: -1})
+	}
+	if w, v := r.b.weight("safe"), r.b.weight("keyed"); math.Abs(w-16.0/9) > 0.1 || math.Abs(v-2.0/9) > 0.05 {
+		t.Fatalf("weights %v and %v, told were 16/9 and 2/9 of the mean", w, v)
+	}
+	if w := r.b.weight("unsafe"); w != 1 {
+		t.Errorf("a class that told nothing weighs %v", w)
+	}
+	for _, s := range r.b.order { // room for one mean connection and a half
+		s.x, s.known, s.readAt, s.step, r.loads[s.ID] = 0.74, true, r.now, 0.04, 0.74
+	}
+	heavy := &request{Request: Request{Class: "safe"}, class: r.b.classes["safe"]}
+	light := &request{Request: Request{Class: "keyed"}, class: r.b.classes["keyed"]}
+	if s := r.b.order[0]; r.b.admit(s, heavy) || !r.b.admit(s, light) {
+		t.Error("room for 1.5 mean connections: want none for a heavy one, some for a light one")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -41,7 +41,8 @@
 // New returns a balancer, or an error that names the setting that cannot work.
 func New(cfg Config, seed int64) (*Balancer, error) {
 	b := &Balancer{rng: rand.New(rand.NewPCG(uint64(seed), 1)), age: 4 * minAge, window: 16,
-		servers: map[string]*server{}, requests: map[string]*request{}, plans: map[string]plan{}}
+		servers: map[string]*server{}, requests: map[string]*request{}, plans: map[string]plan{},
+		loads: map[string]*mean{}}
 	return b, b.configure(cfg)
 }
 
@@ -83,6 +84,7 @@
 	case LoadChange:
 		if r := b.requests[ev.ID]; r != nil && r.open {
 			r.on.heardAt = b.now
+			b.weigh(r.Class, ev.Load)
 		}
 	case Delay:
 		if s := b.servers[ev.Server]; s != nil {
@@ -169,11 +171,8 @@
 // step estimates what one mean connection adds to X at s: from its own report, or else from those of the
 // others, since one that is not known yet would not be drawn for want of budget, and so never be known.
 func (b *Balancer) step(s *server) float64 {
-	switch {
-	case s.step > 0:
-		return s.step
-	case b.meanStep > 0:
-		return b.meanStep / b.ramp(s)
+	if s.step > 0 || b.meanStep > 0 {
+		return cmp.Or(s.step, b.meanStep/b.ramp(s))
 	}
 	return min(0.2, b.meanX*float64(len(b.order))/float64(b.cfg.Balancers*max(1, len(b.conns))))
 }
@@ -220,8 +219,7 @@
 
 // draw picks two servers at random, with less weight for those that cross zones or are cold. The draws of
 // a group, or the first one of a key, hang on that alone: a balancer that gets a connection in mid-flow may
-// find its server, which another one chose. What a group's first two have no room for goes on by its order of
-// all zones, the same at every balancer: each further server that holds some of a group works for it again.
+// find its server, which another one chose. What a group's first two have no room for spills in its order.
 func (b *Balancer) draw(r *request) []*server {
 	salt := hashOf(cmp.Or(r.Group, r.Key))
 	if r.draws++; r.Group == "" && (r.draws > 1 || r.Key == "") {
@@ -239,11 +237,11 @@
 		s.rank = -math.Log(mix(s.hash+salt)) / weight
 	}
 	slices.SortFunc(drawn, func(x, y *server) int { return cmp.Compare(x.rank, y.rank) })
-	if n := len(drawn); n > 2 && r.draws > 2 {
-		i := 2 * (r.draws - 2) % n
-		drawn[0], drawn[1] = drawn[i], drawn[(i+1)%n]
+	if n := len(drawn); n > 2 {
+		i := 2 * max(0, r.draws-2) % n
+		return []*server{drawn[i], drawn[(i+1)%n]}
 	}
-	return drawn[:min(2, len(drawn))]
+	return drawn
 }
 
 // shared tells that a zone has balancers enough for some to be left when others stop: then connections in
@@ -260,11 +258,10 @@
 // to a server that is back from a drain: far or cold, it would hardly be drawn at thin traffic.
 func (b *Balancer) arrive(q Request) {
 	k := b.classes[q.Class]
-	switch {
-	case b.requests[q.ID] != nil:
-		return
-	case k == nil: // nothing is known of its effect, and nothing was sent
-		b.do(Refuse{ID: q.ID})
+	if known := b.requests[q.ID] != nil; known || k == nil {
+		if !known { // nothing is known of the effect of its class, and nothing was sent
+			b.do(Refuse{ID: q.ID})
+		}
 		return
 	}
 	r := b.accept(q, k)
@@ -339,6 +336,15 @@
 	return s.x + s.placed
 }
 
+// counts is what r finds as load at s. One that holds none of its group from here would do the group's work
+// once more, and for those that follow: groups open elsewhere only where there is room for more than that.
+func (b *Balancer) counts(s *server, r *request) float64 {
+	if r.Group == "" || s.groups[r.Group] > 0 {
+		return b.load(s)
+	}
+	return b.load(s) + tieMargin
+}
+
 // far is what standing in another zone costs, as load that is as bad.
 func (b *Balancer) far(s *server) float64 {
 	if s.Zone == b.cfg.Zone {
@@ -356,7 +362,7 @@
 		if !b.usable(s, r) || s.probing && s.fails > 0 && len(r.choice) > 1 {
 			continue
 		}
-		if best == nil || !stays && b.load(s)+b.far(s)+tieMargin < b.load(best)+b.far(best) {
+		if best == nil || !stays && b.counts(s, r)+b.far(s)+tieMargin < b.counts(best, r)+b.far(best) {
 			best = s
 		}
 	}
@@ -396,7 +402,7 @@
 	if t := r.tenant; t != nil && t.Connections > 0 && float64(t.open*b.cfg.Balancers) > 1.2*t.Connections {
 		limit = overShareX
 	}
-	room := (limit - b.load(s)) / max(b.step(s), 1e-6) / (1 + s.doubt)
+	room := (limit - b.counts(s, r)) / max(b.step(s)*b.weight(r.Class), 1e-6) / (1 + s.doubt)
 	return room >= 1 && !b.lagging(s, r.class.MessageAim) && (b.ramp(s) < 1 || b.lot(room))
 }
 
@@ -464,7 +470,7 @@
 	r.attempts++
 	b.outs++
 	s.tokens-- // only counts while s is cold
-	s.placed += b.step(s)
+	s.placed += b.step(s) * b.weight(r.Class)
 	// One attempt should leave time for another, unless set-ups take long everywhere.
 	until := b.now + max(r.class.Aim, time.Duration(4*b.setup)*time.Millisecond)
 	if until >= r.deadline-r.class.Aim/2 {
@@ -475,8 +481,7 @@
 
 // finish answers a request without an attempt out for good. A refusal says that a new try is harmless.
 func (b *Balancer) finish(r *request) {
-	k := r.class
-	if r.ranAt < 0 || k.Effect == Safe || k.Effect == Keyed && k.Scope == ScopeAll {
+	if k := r.class; r.ranAt < 0 || k.Effect == Safe || k.Effect == Keyed && k.Scope == ScopeAll {
 		b.do(Refuse{r.ID, b.cfg.MaxRetryAfter/2 + b.jitter(b.cfg.MaxRetryAfter/2)})
 	} else {
 		b.do(Fail{r.ID})
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,18 +17,19 @@
 	doubt           float64 // grows with each overload; its room is divided by 1 + doubt
 	x, step, placed float64 // reading of X, what a mean connection adds, what was added here since
 	known, probing  bool
-	readAt, heardAt time.Duration // last reading, last sign of life
-	askedAt         time.Duration // last probe
-	waiters         []*request    // they wait for the probe
-	lag             time.Duration // what a message took there, or the backlog reported ...
-	lagAt           time.Duration // ... at this time
-	open, fails     int           // own connections; probes without an answer, in a row
-	heldOff         time.Duration // not drawn before this
-	overSince       time.Duration // it reads overloaded since then; 0 if it doesn't
-	escapeAt        time.Duration // no escape before this: the last one has to show first
-	coldSince       time.Duration // 0 if warm
-	tokens          float64       // sends that the cold budget allows ...
-	tokensAt        time.Duration // ... at this time
+	readAt, heardAt time.Duration  // last reading, last sign of life
+	askedAt         time.Duration  // last probe
+	waiters         []*request     // they wait for the probe
+	lag             time.Duration  // what a message took there, or the backlog reported ...
+	lagAt           time.Duration  // ... at this time
+	open, fails     int            // own connections; probes without an answer, in a row
+	groups          map[string]int // own connections by group
+	heldOff         time.Duration  // not drawn before this
+	overSince       time.Duration  // it reads overloaded since then; 0 if it doesn't
+	escapeAt        time.Duration  // no escape before this: the last one has to show first
+	coldSince       time.Duration  // 0 if warm
+	tokens          float64        // sends that the cold budget allows ...
+	tokensAt        time.Duration  // ... at this time
 }
 
 type tenant struct {
@@ -36,6 +37,12 @@
 	open int
 }
 
+// mean is the running mean of the loads that connections told.
+type mean struct {
+	load float64
+	told int
+}
+
 // plan says what a move was for: its client goes to target, or anywhere but to avoid. A move that
 // explores has the server it left in from.
 type plan struct {
@@ -73,8 +80,9 @@
 	requests               map[string]*request
 	held, conns            []*request // no attempt out, by arrival; open, by set-up
 	plans                  map[string]plan
-	back                   []*server // back from a drain, and not sent to since
-	t                      int       // explore slots so far
+	loads                  map[string]*mean // by class, and of all under ""
+	back                   []*server        // back from a drain, and not sent to since
+	t                      int              // explore slots so far
 	started, exploring     bool
 	subscribed             bool
 	slotAt, askAt, askWait time.Duration
@@ -111,6 +119,9 @@
 	}
 	if r.open {
 		r.on.open--
+		if r.on.groups[r.Group]--; r.on.groups[r.Group] == 0 {
+			delete(r.on.groups, r.Group)
+		}
 		b.conns = without(b.conns, r)
 		if r.tenant != nil {
 			r.tenant.open--
@@ -122,12 +133,42 @@
 func (b *Balancer) stand(r *request) {
 	r.open = true
 	r.on.open++
+	r.on.groups[r.Group]++
 	b.conns = append(b.conns, r)
 	if r.tenant != nil {
 		r.tenant.open++
 	}
 }
 
+// weigh takes the load that a connection of a class told.
+func (b *Balancer) weigh(class string, load float64) {
+	if load <= 0 { // an idle one: what it asks when it goes on is not known
+		return
+	}
+	for _, name := range []string{class, ""} {
+		m := b.loads[name]
+		if m == nil {
+			m = &mean{}
+			b.loads[name] = m
+		}
+		m.told = min(m.told+1, manyTold)
+		m.load += (load - m.load) / float64(m.told)
+	}
+}
+
+// weight is the load of a class's connections over that of all, 1 until enough have told theirs.
+func (b *Balancer) weight(class string) float64 {
+	if m := b.loads[class]; m != nil && m.told >= fewTold {
+		return m.load / b.loads[""].load
+	}
+	return 1
+}
+
+const (
+	fewTold  = 8   // loads are uneven: the mean of so many is right within a half
+	manyTold = 200 // a mean follows what changes within so many
+)
+
 func hashOf(text string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(text))
@@ -165,7 +206,7 @@
 		listed[e.ID] = true
 		s := b.servers[e.ID]
 		if s == nil {
-			s = &server{hash: hashOf(e.ID), heardAt: b.now}
+			s = &server{hash: hashOf(e.ID), heardAt: b.now, groups: map[string]int{}}
 			b.servers[e.ID] = s
 			b.order = append(b.order, s)
 		}
