--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -793,3 +793,31 @@
 		t.Error("room for 1.5 mean connections: want none for a heavy one, some for a light one")
 	}
 }
+
+// Reports that tell only how many connections a server holds say nothing of what it can hold: a hundred each
+// (the figure that stood for full) refused everybody where machines hold more.
+func TestReportsWithoutALoadOnlyCompare(t *testing.T) {
+	r := newRig(t, testConfig(), servers(4)...)
+	held := map[string]float64{"s00": 240, "s01": 250, "s02": 260, "s03": 700}
+	sent := map[string]int{}
+	for i := range 60 {
+		for id, n := range held {
+			s := r.b.servers[id]
+			s.probing = false
+			r.b.reading(s, Report{Load: -1, Busy: -1, InFlight: n, Backlog: -1})
+		}
+		r.request(fmt.Sprint(i), "safe")
+		for _, a := range r.log {
+			if s, ok := a.(Send); ok {
+				sent[s.Server]++
+				r.feed(Established{ID: s.ID, Server: s.Server, Latency: ms})
+				r.feed(ClientGone{s.ID})
+			}
+		}
+		r.log = nil
+		r.now += 50 * ms
+	}
+	if n := sent["s00"] + sent["s01"] + sent["s02"]; n < 50 || sent["s03"] > 0 {
+		t.Errorf("sent %v: want nearly all 60 to the three even ones, none to the one with thrice as many", sent)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -546,7 +546,7 @@
 }
 
 func (b *Balancer) reading(s *server, p Report) {
-	x := loadOf(p, s.Weight)
+	x := b.loadOf(p, s.Weight)
 	if s.known {
 		// Learn how often reports change: an equal one means that asking was too early.
 		if b.age = max(minAge, b.age*98/100); x == s.x {
--- a/policy/state.go
+++ b/policy/state.go
@@ -87,7 +87,8 @@
 	subscribed             bool
 	slotAt, askAt, askWait time.Duration
 	age                    time.Duration // a reading older than this has likely been renewed
-	setup, meanX, meanStep float64       // running means: set-up time in ms, X, step of warm servers
+	setup, meanX, meanStep float64       // running means: set-up time in ms, X, step of warm servers ...
+	meanHeld               float64       // ... and connections over registered size, where no load is reported
 	outs                   int           // set-ups under way ...
 	window                 float64       // ... and how many there may be
 	cutAt, pauseTill       time.Duration // no second cut before this; no set-up before this
@@ -249,15 +250,19 @@
 	}
 }
 
-// loadOf is the X of a report, from the best figure that it has.
-func loadOf(p Report, weight float64) float64 {
-	switch {
+// loadOf is the X of a report, from the best figure that it has. How many connections a server can hold nobody
+// tells: where reports hold nothing else, twice the mean of all counts as full, by registered size.
+func (b *Balancer) loadOf(p Report, weight float64) float64 {
+	switch held := max(0, p.InFlight) / max(weight, 1e-6); {
 	case p.Load >= 0:
 		return p.Load
 	case p.Busy >= 0:
 		return p.Busy
+	default:
+		b.meanHeld += 0.05 * (held - cmp.Or(b.meanHeld, held))
+		b.meanHeld = cmp.Or(b.meanHeld, held)
+		return fullX / 2 * held / max(b.meanHeld, 1)
 	}
-	return max(0, p.InFlight) / max(weight, 1e-6) / 100
 }
 
 func (b *Balancer) do(a Action) { b.out = append(b.out, a) }
