Move connections off draining servers, and stay while connections pass on elsewhere

Lines at fault: nobody moved them (policy.go, wake). Now they leave over drainIn, not all at once.

Counted: a balancer that ended by itself 3.5 s after SIGTERM reset 83 to 100 connections 0.2 s before the front led the others' to the next balancer as mid-flow; one that was still there was killed and lost none. At fault: leaveBy in the reducer.

Room in the module: servers that are heard of late are read by watch() already.

--- a/internal/core/operators.go
+++ b/internal/core/operators.go
@@ -175,3 +175,22 @@
 		all = r.inOrder()
 	}
 }
+
+// Reading is what the module last knew of a region: X, when that was read, and probes without an answer in a row.
+type Reading struct {
+	Region string
+	X      float64
+	At     time.Duration
+	Fails  int
+}
+
+// Readings are those of all regions that were read or found silent, by id.
+func (r *Reducer) Readings() (list []Reading) {
+	r.module.Readings(func(id string, x float64, at time.Duration, fails int) {
+		list = append(list, Reading{id, x, at, fails})
+	})
+	return list
+}
+
+// Clock is the module's clock: its explore slots so far.
+func (r *Reducer) Clock() int { return r.module.Clock() }
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -224,6 +224,9 @@
 				r.sendAllAway()
 			}
 			r.leaveBy = r.now + max(leaveAfter, min(leaveMost, r.cfg.LongestWait)+leaveMargin)
+			if r.cfg.PassThrough && !r.handed {
+				r.leaveBy = r.now + passMost
+			}
 			r.wheel.set(r.leaveAt, timer{kind: leaveTimer})
 		}
 	case Maintain:
--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -821,3 +821,30 @@
 		t.Errorf("sent %v: want nearly all 60 to the three even ones, none to the one with thrice as many", sent)
 	}
 }
+
+// Draining servers of the second deployment keep their connections until they stop, and then reset them: 53 of 150
+// came again within a second, and found no room for 1.8 s. Nobody else sends them off before; all at once is a wave too.
+func TestConnectionsLeaveADrainingServerOneByOne(t *testing.T) {
+	r := newRig(t, testConfig(), servers(4)...)
+	for i := range 60 {
+		r.open(fmt.Sprint(i), "s00")
+	}
+	r.open("elsewhere", "s01")
+	draining := servers(4)[:1]
+	draining[0].State = Draining
+	r.log = nil
+	r.feed(ServerList{Kind: ListDelta, Servers: draining})
+	most := 0
+	for range 100 {
+		before := len(all[Move](r))
+		r.run(100 * ms)
+		most = max(most, len(all[Move](r))-before)
+	}
+	moved := map[string]bool{}
+	for _, m := range all[Move](r) {
+		moved[m.ID] = true
+	}
+	if len(moved) != 60 || moved["elsewhere"] || most > 15 {
+		t.Errorf("%d of 60 moved, up to %d in 100 ms", len(moved), most)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -27,11 +27,11 @@
 	showMin        = 800 * time.Millisecond  // a change of load takes this or longer to show in reports
 	doubtFor       = 8 * time.Second         // each overload halves a server's room; that fades over this
 	tieMargin      = 0.15                    // loads this close are equal: the first drawn has it
-	drainIn        = 2 * time.Second         // a backlog should be gone after this
+	drainIn        = 2 * time.Second         // a backlog, or who stands on a draining server, is gone by then
 	lagFor         = 1500 * time.Millisecond // late messages are told of once a second while they are late
 	tickEvery      = 20 * time.Millisecond   // held requests and slots are looked at so often
 	redrawEvery    = 100 * time.Millisecond  // a held request draws again after this
-	checkEvery     = 10 * time.Second        // servers with own connections are heard from so often
+	checkEvery     = 10 * time.Second        // servers with own connections are read so often at least
 	planFor        = 5 * time.Second         // a moved client is expected back within this
 	manyFail       = 0.25                    // share of requests that fail by more than their content
 	maxWindow      = 64.0                    // set-ups under way at most
@@ -126,7 +126,9 @@
 		b.askAt = b.now + b.cfg.AskWithin/2
 	}
 	for _, s := range b.order { // one reading that is over can be noise, or set-ups that are over soon
-		if s.State == Live && (s.overSince > 0 || s.open > 0 && b.now-s.askedAt > b.watch(s)) {
+		if s.State == Draining { // not all at once: they are a wave where they go
+			b.leave(s, b.tick.Seconds()/drainIn.Seconds())
+		} else if s.overSince > 0 || s.open > 0 && b.now-s.askedAt > b.watch(s) {
 			b.read(s, nil)
 		}
 	}
@@ -625,12 +627,6 @@
 			}
 		}
 	}
-	for _, s := range b.order {
-		if s.open > 0 && b.now-s.heardAt > checkEvery {
-			s.known = false
-			b.read(s, nil)
-		}
-	}
 	b.dropOldPlans()
 }
 
@@ -691,12 +687,17 @@
 	if s.fails < 2 && s.x <= 1 {
 		excess *= b.spare()
 	}
-	if excess <= 0 || b.now < s.escapeAt {
+	if excess <= 0 || b.now < s.escapeAt || s.State == Draining {
 		return
 	}
 	s.escapeAt, s.doubt = b.now+b.settle(), 2*s.doubt+1
+	b.leave(s, excess)
+}
+
+// leave moves a part of a server's connections elsewhere.
+func (b *Balancer) leave(s *server, part float64) {
 	for _, r := range b.conns {
-		if r.on == s && !r.moving && r.from == nil && b.rng.Float64() < excess {
+		if r.on == s && !r.moving && r.from == nil && b.rng.Float64() < part {
 			b.move(r, plan{avoid: s})
 		}
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -291,3 +291,15 @@
 		b.tenants[t.Name].Tenant = t
 	}
 }
+
+// Readings tells of each server that was read or found silent: X, when it was read, probes without an answer in a row.
+func (b *Balancer) Readings(of func(id string, x float64, at time.Duration, fails int)) {
+	for _, s := range b.order {
+		if s.readAt > 0 || s.fails > 0 {
+			of(s.ID, s.x, s.readAt, s.fails)
+		}
+	}
+}
+
+// Clock is the number of explore slots so far.
+func (b *Balancer) Clock() int { return b.t }
