--- a/cmd/oatctl/calls.go
+++ b/cmd/oatctl/calls.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 
 	"oatloft/internal/management"
 )
@@ -43,3 +44,32 @@
 func (c *active) Run() error   { return c.call("active") }
 func (c *maintOn) Run() error  { return c.call("maint-on " + c.ID) }
 func (c *maintOff) Run() error { return c.call("maint-off " + c.ID) }
+
+type peersCall struct {
+	at
+	Name string `arg:"" optional:"" help:"One member only."`
+}
+
+// Run asks for the summary, and then for one member after the other: an answer is one line.
+func (c *peersCall) Run() error {
+	if c.Name != "" {
+		return c.call("peers " + c.Name)
+	}
+	if err := c.call("peers"); err != nil {
+		return err
+	}
+	for name := ""; ; {
+		answer, err := management.Ask(c.At, "peers >"+name)
+		if err != nil {
+			return err
+		}
+		if !answer.OK {
+			return errors.New(answer.Text)
+		}
+		if answer.Text == "-" {
+			return nil
+		}
+		fmt.Println(answer.Text)
+		name, _, _ = strings.Cut(answer.Text, " ")
+	}
+}
--- a/cmd/oatlab/main.go
+++ b/cmd/oatlab/main.go
@@ -14,6 +14,7 @@
 	Noise     noise          `cmd:"" help:"Make noise against a balancer until standard input ends; then print what was opened, refused and served."`
 	Admission admissionTable `cmd:"" help:"Measure what good terminals get while an address makes noise, with admission off and on."`
 	Fleet     fleet          `cmd:"" help:"Count over the traces of many balancers (serve --log-level debug), by second and by region."`
+	Storm     stormCmd       `cmd:"" help:"Put faults between several processes of the balancer, and judge what they do together."`
 }
 
 func main() {
--- /dev/null
+++ b/cmd/oatlab/storm.go
@@ -0,0 +1,122 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"oatloft/internal/storm"
+)
+
+// stormCmd puts faults between several processes of the balancer, by schedules drawn from seeds or read from a file.
+type stormCmd struct {
+	Balancers int     `default:"5" help:"Processes."`
+	Seed      uint64  `default:"1" help:"First seed."`
+	Seeds     int     `default:"5" help:"How many, each the one before and one more."`
+	Seconds   float64 `default:"6" help:"Of faults, in each storm."`
+	Schedule  string  `type:"existingfile" help:"Play this schedule in place of drawn ones, Seeds times."`
+	Binary    string  `default:"bin/oatloft" type:"path" help:"The balancer."`
+	Jobs      int     `default:"2" help:"Storms side by side."`
+	Silent    string  `default:"600ms" help:"silent_after of the members."`
+	Shrink    int     `default:"12" help:"Plays to spend on shrinking the first storm that breaks; 0 for none."`
+	Print     bool    `help:"Print each drawn schedule too."`
+}
+
+func (c *stormCmd) Run() error {
+	silent, err := time.ParseDuration(c.Silent)
+	if err != nil {
+		return fmt.Errorf("--silent: %q is no time", c.Silent)
+	}
+	if c.Seeds < 1 || c.Jobs < 1 || c.Jobs > 16 || c.Seeds > 10000 {
+		return errors.New("--seeds has to be 1 to 10000, --jobs 1 to 16")
+	}
+	var fixed *storm.Schedule
+	if c.Schedule != "" {
+		if fixed, err = storm.Load(c.Schedule); err != nil {
+			return err
+		}
+	}
+	binary, err := filepath.Abs(c.Binary)
+	if err != nil {
+		return err
+	}
+	if _, err := os.Stat(binary); err != nil {
+		return fmt.Errorf("--binary: %w", err)
+	}
+	type outcome struct {
+		r   *storm.Report
+		err error
+	}
+	results := make([]chan outcome, c.Seeds)
+	for i := range results {
+		results[i] = make(chan outcome, 1)
+	}
+	nets, next := make(chan int, c.Jobs), make(chan int)
+	for n := range c.Jobs {
+		nets <- 20 + n
+	}
+	go func() {
+		for i := range c.Seeds {
+			next <- i
+		}
+		close(next)
+	}()
+	var all sync.WaitGroup
+	for range c.Jobs {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := range next {
+				s := fixed
+				if s == nil {
+					s = storm.Draw(c.Seed+uint64(i), c.Balancers, c.Seconds)
+				}
+				n := <-nets
+				r, err := storm.Run(s, storm.Options{Binary: binary, Net: n, SilentAfter: silent})
+				nets <- n
+				results[i] <- outcome{r, err}
+			}
+		}()
+	}
+	broken := 0
+	var first *storm.Report
+	for i := range results {
+		o := <-results[i]
+		if o.err != nil {
+			return o.err
+		}
+		fmt.Println(o.r.Line())
+		if c.Print {
+			printSchedule(o.r.Schedule)
+		}
+		if len(o.r.Broken) > 0 {
+			if broken++; first == nil {
+				first = o.r
+			}
+			for _, b := range o.r.Broken[:min(3, len(o.r.Broken))] {
+				fmt.Println("   ", b)
+			}
+		}
+	}
+	all.Wait()
+	if first != nil && c.Shrink > 0 {
+		less, _ := storm.Shrink(first.Schedule, storm.Options{Binary: binary, Net: 20, SilentAfter: silent}, c.Shrink)
+		fmt.Println("the fewest faults found that still break it, a file for --schedule:")
+		printSchedule(less)
+	}
+	fmt.Printf("STORM seeds=%d broken=%d\n", c.Seeds, broken)
+	if broken > 0 {
+		return fmt.Errorf("%d of %d storms broke something", broken, c.Seeds)
+	}
+	return nil
+}
+
+func printSchedule(s *storm.Schedule) {
+	if body, err := json.MarshalIndent(s, "", "  "); err == nil {
+		fmt.Println(string(body))
+	}
+}
--- /dev/null
+++ b/cmd/oatloft/storm_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"oatloft/internal/standin"
+	"oatloft/internal/storm"
+)
+
+// Several processes of this program, with faults between them. The schedules are files, and the same ones in each run;
+// oatlab storm draws others.
+func TestStorms(t *testing.T) {
+	files, err := filepath.Glob("testdata/storms/*.json")
+	if err != nil || len(files) < 5 {
+		t.Fatalf("%d schedules, %v", len(files), err)
+	}
+	for i, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".json"), func(t *testing.T) {
+			t.Parallel()
+			s, err := storm.Load(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			r, err := storm.Run(s, storm.Options{Binary: os.Args[0], Net: 60 + i, SilentAfter: 1500 * time.Millisecond})
+			if err != nil {
+				t.Fatal(err)
+			}
+			for _, b := range r.Broken {
+				t.Error(b)
+			}
+			t.Log(r.Line())
+		})
+	}
+}
+
+// Without the section of the edge file no socket for others is opened, whatever else is on: the platform refuses it.
+func TestNoPeersUnlessTheEdgeFileSaysSo(t *testing.T) {
+	r := newRig(t, standin.Options{Sockets: 256, MemoryMB: 64}, standin.Launch{Management: free(t)})
+	if a := standin.Call(r.launch.Management, "peers"); !strings.HasPrefix(a, "-ERR peers are off") {
+		t.Errorf("peers: %q", a)
+	}
+	if n := r.p.Datagrams(); n != 0 {
+		t.Errorf("%d UDP sockets", n)
+	}
+}
+
+func free(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.8.4.9:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
--- a/internal/edge/edge.go
+++ b/internal/edge/edge.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"oatloft/internal/admission"
+	"oatloft/internal/peers"
 )
 
 // Form is the version of the compiled form. A file of another is refused.
@@ -28,6 +29,37 @@
 	Form      int        `json:"oatloft_edge"`
 	Source    string     `json:"source"` // what it was compiled from
 	Admission *Admission `json:"admission"`
+	Peers     *Peers     `json:"peers,omitempty"`
+}
+
+// Peers is the section of internal/peers: balancers that know of each other.
+type Peers struct {
+	Cluster     string            `json:"cluster"`
+	Listen      string            `json:"listen"`
+	Advertise   string            `json:"advertise"` // where the others reach it; Listen if ""
+	Join        []string          `json:"join"`
+	Reach       map[string]string `json:"reach"`
+	SilentAfter Duration          `json:"silent_after"`
+	MaxMembers  int               `json:"max_members"`
+	SignalBytes Size              `json:"signal_bytes"`
+	SignalEvery Duration          `json:"signal_every"`
+	SignalLife  Duration          `json:"signal_life"`
+}
+
+// Config is what the member is to know, for a balancer of this name. The generation is the host's.
+func (p *Peers) Config(name string) (peers.Config, error) {
+	c := peers.Config{Cluster: p.Cluster, Name: name, Addr: p.Advertise, Join: p.Join, Reach: p.Reach, SilentAfter: time.Duration(p.SilentAfter),
+		MaxMembers: p.MaxMembers, SignalBytes: int(p.SignalBytes), Generation: 1}
+	if c.Addr == "" {
+		c.Addr = p.Listen
+	}
+	switch {
+	case p.SignalEvery < Duration(50*time.Millisecond):
+		return c, fmt.Errorf("peers.signal_every: %v is under 50ms", time.Duration(p.SignalEvery))
+	case p.SignalLife < 2*p.SignalEvery:
+		return c, fmt.Errorf("peers.signal_life: %v is under twice signal_every, %v", time.Duration(p.SignalLife), time.Duration(p.SignalEvery))
+	}
+	return c, c.Check()
 }
 
 // Admission is the section of internal/admission.
@@ -197,6 +229,11 @@
 			return nil, err
 		}
 	}
+	if s.Peers != nil {
+		if _, err := s.Peers.Config("any"); err != nil {
+			return nil, err
+		}
+	}
 	return s, nil
 }
 
--- a/internal/edgecue/schema.cue
+++ b/internal/edgecue/schema.cue
@@ -15,6 +15,24 @@
 
 #Edge: {
 	admission?: #Admission
+	peers?:     #Peers
+}
+
+// #Address is an IPv4 address and a port.
+#Address: =~"^[0-9]{1,3}(\\.[0-9]{1,3}){3}:[0-9]{1,5}$"
+
+// Balancers that know of each other: docs/operators/peers.md. All others of the cluster have to be trusted.
+#Peers: {
+	cluster:   string & =~"^.{1,64}$" // packets of others are dropped
+	listen:    #Address // UDP
+	advertise: #Address | *"" // where the others reach it, if that is not where it listens
+	join: [...#Address] // some that are likely to be there: any one will do
+	reach: {[string]: #Address} // by a member's name, where to send in place of what it says itself
+	silent_after: #Duration | *"3s" // a member that is silent for so long is held to be gone
+	max_members:  int & >=2 & <=65536 | *1024
+	signal_bytes: #Size | *"4KiB" // of one member
+	signal_every: #Duration | *"500ms" // what this balancer knows is told so often
+	signal_life:  #Duration | *"5s" // and counts as unknown after this
 }
 
 #Admission: {
--- a/internal/management/calls.go
+++ b/internal/management/calls.go
@@ -23,9 +23,10 @@
 	MaintOff
 	Standby
 	Active
+	Peers
 )
 
-var words = []string{Status: "status", MaintOn: "maint-on", MaintOff: "maint-off", Standby: "standby", Active: "active"}
+var words = []string{Status: "status", MaintOn: "maint-on", MaintOff: "maint-off", Standby: "standby", Active: "active", Peers: "peers"}
 
 func (w Word) String() string { return words[w] }
 
@@ -104,7 +105,8 @@
 			continue
 		}
 		c := Call{Word: Word(w)}
-		takesID := c.Word == MaintOn || c.Word == MaintOff
+		mayID := c.Word == Peers
+		takesID := c.Word == MaintOn || c.Word == MaintOff || mayID && len(parts) > 1
 		switch {
 		case takesID && len(parts) == 1:
 			return Call{}, fmt.Errorf("%s needs the id of a server", name)
--- a/internal/net/config.go
+++ b/internal/net/config.go
@@ -30,6 +30,7 @@
 	Cores                   float64
 	Core                    core.Config
 	Admission               *Admission // nil: only counts of descriptors and memory hold
+	Peers                   *Peers     // nil: this balancer knows of no other
 	Known                   *core.Listed
 	Zero                    time.Time // the balancer's clock counts from here
 }
@@ -79,8 +80,20 @@
 // SetEdge adds our own settings to those of the platform, and what they need of those: the tenants, and whether
 // terminals heed a time to come back.
 func (c *Config) SetEdge(e *edge.Settings) error {
-	c.Admission = nil
-	if e == nil || e.Admission == nil {
+	c.Admission, c.Peers = nil, nil
+	if e == nil {
+		return nil
+	}
+	if e.Peers != nil {
+		p, err := e.Peers.Config(c.Name)
+		if err != nil {
+			return err
+		}
+		p.Generation = uint64(time.Now().UnixMilli())
+		p.Seed = uint64(c.Core.Seed) ^ p.Generation
+		c.Peers = &Peers{Config: p, Listen: e.Peers.Listen, Every: time.Duration(e.Peers.SignalEvery), Life: time.Duration(e.Peers.SignalLife)}
+	}
+	if e.Admission == nil {
 		return nil
 	}
 	a, err := e.Admission.Config()
--- a/internal/net/manage.go
+++ b/internal/net/manage.go
@@ -77,8 +77,11 @@
 
 // operate answers one call, on the caller's goroutine.
 func (s *Server) operate(c management.Call, over <-chan struct{}) management.Answer {
-	if c.Word == management.MaintOn || c.Word == management.MaintOff {
+	switch c.Word {
+	case management.MaintOn, management.MaintOff:
 		return s.maintain(c, over)
+	case management.Peers:
+		return s.whoIsThere(c.ID)
 	}
 	return s.onLoop(over, func() management.Answer {
 		if c.Word == management.Status {
--- /dev/null
+++ b/internal/net/peers.go
@@ -0,0 +1,143 @@
+// What this balancer tells the others of its cluster, and what operators are told of them. This file owns the way between
+// the loop and internal/peers: signals are left there without waiting, and what comes back is a view. Off unless the
+// edge file has a section for it.
+
+package net
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"oatloft/internal/management"
+	"oatloft/internal/peers"
+)
+
+// Peers is what internal/peers is told.
+type Peers struct {
+	Config      peers.Config
+	Listen      string
+	Every, Life time.Duration
+}
+
+// same tells that two say the same but for the generation, which is of the process.
+func (p *Peers) same(o *Peers) bool {
+	if p == nil || o == nil {
+		return p == o
+	}
+	a, b := p.Config, o.Config
+	return p.Listen == o.Listen && p.Every == o.Every && p.Life == o.Life && a.Cluster == b.Cluster && a.Name == b.Name && a.Addr == b.Addr &&
+		slices.Equal(a.Join, b.Join) && maps.Equal(a.Reach, b.Reach) && a.SilentAfter == b.SilentAfter && a.MaxMembers == b.MaxMembers &&
+		a.SignalBytes == b.SignalBytes
+}
+
+const signalsAtOnce = 48 // in one go, so that all find their place
+
+// toldPeers is what was told, and when.
+type toldPeers struct {
+	at      time.Time
+	regions map[string]time.Duration // time of the reading that was told
+	next    int
+	drain   bool
+}
+
+// signal gives this balancer's signals: its clock, its load, whether it drains, and readings that are new.
+func (s *Server) signal(now time.Time) {
+	drain := s.core.Leaving() || s.core.Drained()
+	if drain != s.told.drain {
+		s.told.drain = drain
+		go s.peers.Leave(drain) // it waits for the member's turn, which is not the loop's affair
+	}
+	if now.Before(s.told.at) {
+		return
+	}
+	s.told.at = now.Add(s.cfg.Peers.Every)
+	if s.told.regions == nil {
+		s.told.regions = map[string]time.Duration{}
+	}
+	life := s.cfg.Peers.Life
+	s.peers.Set(peers.ClockKey, fmt.Append(nil, s.core.Clock()), life)
+	s.peers.Set(peers.LoadKey, fmt.Append(nil, s.core.Open()-s.core.Owed(), " ", s.core.Owed()), life)
+	s.peers.Set(peers.DrainKey, fmt.Append(nil, drain), life)
+	readings := s.core.Readings()
+	left := signalsAtOnce
+	for i := range readings {
+		r := readings[(s.told.next+i)%len(readings)]
+		if at, told := s.told.regions[r.Region]; told && at == r.At && r.Fails == 0 {
+			continue
+		}
+		if left--; left < 0 {
+			s.told.next = (s.told.next + i) % len(readings)
+			break
+		}
+		s.told.regions[r.Region] = r.At
+		s.peers.Set(peers.RegionKey+r.Region, peers.Reading{X: r.X, Age: s.now() - r.At, Fails: r.Fails}.Value(), life)
+	}
+	if len(s.told.regions) > 2*len(readings)+16 {
+		clear(s.told.regions)
+	}
+}
+
+// sayLeaving tells the others before the process ends that it does.
+func (s *Server) sayLeaving() {
+	if s.peers != nil {
+		s.signal(time.Now())
+	}
+}
+
+// whoIsThere answers the call peers: how many there are, or with a name, or ">" and a name for the one after it, what
+// that one says. It reads a view, and never waits for the loop.
+func (s *Server) whoIsThere(name string) management.Answer {
+	if s.peers == nil {
+		return management.No("peers are off: the edge file has no such section")
+	}
+	v := s.peers.View()
+	flags := ""
+	for _, f := range []struct {
+		is   bool
+		what string
+	}{{v.Old, " view-is-old"}, {v.Alone, " alone"}, {v.Displaced, " displaced"}} {
+		if f.is {
+			flags += f.what
+		}
+	}
+	if name == "" {
+		by := map[peers.State]int{}
+		for _, m := range v.Members {
+			by[m.State]++
+		}
+		return management.Yes("%s generation=%d members=%d alive=%d leaving=%d suspect=%d gone=%d slow=%d%s", v.Self.Name, v.Self.Generation,
+			len(v.Members)+1, by[peers.Alive]+1, by[peers.Leaving], by[peers.Suspect], by[peers.Gone], v.Slow, flags)
+	}
+	after, next := strings.CutPrefix(name, ">")
+	for _, m := range v.Members {
+		if next && m.Name > after || !next && m.Name == name {
+			return management.Yes("%s", wordsOf(v, m))
+		}
+	}
+	if next {
+		return management.Yes("-")
+	}
+	return management.No("nobody of that name is known")
+}
+
+const answerRoom = 3000 // bytes of an answer
+
+func wordsOf(v peers.View, m peers.MemberView) string {
+	heard := "never"
+	if m.Heard > 0 {
+		heard = (v.At - m.Heard).Round(time.Millisecond).String() + "-ago"
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s at=%s state=%s since=%v generation=%d heard=%s", m.Name, m.Addr, m.State, m.Since.Round(time.Millisecond), m.Generation, heard)
+	for i, s := range m.Signals {
+		if b.Len() > answerRoom {
+			fmt.Fprintf(&b, " and-%d-more", len(m.Signals)-i)
+			break
+		}
+		fmt.Fprintf(&b, " %s=%s/%v#%d", s.Key, strings.ReplaceAll(string(s.Value), " ", ","), s.Age.Round(time.Millisecond), s.Version)
+	}
+	return b.String()
+}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -25,6 +25,7 @@
 	"oatloft/internal/handover"
 	"oatloft/internal/logs"
 	"oatloft/internal/management"
+	"oatloft/internal/peers"
 	"oatloft/policy"
 )
 
@@ -76,6 +77,8 @@
 	exit      bool
 	limit     atomic.Int64 // of descriptors
 	door      *door        // nil where no admission is configured
+	peers     *peers.Host  // nil where this balancer knows of no other
+	told      toldPeers
 	byTicket  map[admission.Ticket]*terminal
 	sendOff   []admission.Victim
 	short     bool // of memory
@@ -113,6 +116,11 @@
 	if s.door != nil {
 		s.door.shared = s.inherit != nil
 	}
+	if cfg.Peers != nil {
+		if s.peers, err = peers.Start(cfg.Peers.Config, cfg.Peers.Listen, log); err != nil {
+			return nil, err
+		}
+	}
 	logging.SetLevel(logging.LevelNone)
 	nbio.MaxOpenFiles = int(s.limit.Load()) + moreFiles
 	s.engine = nbio.NewEngine(nbio.Config{Network: "tcp", Addrs: []string{cfg.Listen}, NPoller: 1,
@@ -222,6 +230,9 @@
 	if s.manage != nil {
 		defer s.manage.Close()
 	}
+	if s.peers != nil {
+		defer s.peers.Close()
+	}
 	if s.beside != nil {
 		defer s.beside.Close()
 	}
@@ -265,6 +276,7 @@
 	}
 	s.step(core.Leave{Handed: s.inherit != nil})
 	s.handOver()
+	s.sayLeaving()
 }
 
 // reload takes a configuration read anew, in whole or not at all. Connections, load reports and what is
@@ -284,8 +296,12 @@
 		s.log.Error("not reloaded, the old configuration stays", "err", err)
 		return
 	}
+	if !cfg.Peers.same(s.cfg.Peers) {
+		s.log.Error("not reloaded, the old configuration stays", "err", "peers: can't change while serving")
+		return
+	}
 	moved := cfg.Discovery != s.cfg.Discovery
-	cfg.Zero = s.cfg.Zero
+	cfg.Zero, cfg.Peers = s.cfg.Zero, s.cfg.Peers
 	s.cfg = cfg
 	s.counters.Reloads++
 	s.limit.Store(min(s.descriptors(cfg)-s.others.Sockets, int64(nbio.MaxOpenFiles)-moreFiles/2))
@@ -318,6 +334,9 @@
 	if s.manage != nil {
 		all["management"] = s.manage.Report()
 	}
+	if s.peers != nil {
+		all["peers"] = s.peers.Counts()
+	}
 	if line, err := json.Marshal(all); err == nil {
 		s.log.Info("counters", "all", json.RawMessage(line))
 	}
@@ -392,6 +411,9 @@
 		s.followAt = now.Add(followEvery)
 		s.follow()
 	}
+	if s.peers != nil {
+		s.signal(now)
+	}
 	for region, p := range s.probes {
 		if p.busy && now.After(p.due) {
 			s.probed(region, p, policy.TimedOut, nil)
--- /dev/null
+++ b/internal/peers/host.go
@@ -0,0 +1,218 @@
+package peers
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"oatloft/internal/logs"
+)
+
+const (
+	waiting    = 256 // datagrams that wait for their turn
+	setWaiting = 64  // signals that wait
+	perSecond  = 100 // datagrams taken from one address: three times what a member's probes, news and answers come to ...
+	atOnce     = 300 // ... and of the answer to a Sync, which comes at once
+	sources    = 4096
+)
+
+// Host gives a Machine its socket, clock and goroutine.
+type Host struct {
+	// Dropped counts datagrams that came faster than one address may send (Flooding), or than they could be taken.
+	Dropped struct{ Flooding, Full, Unsent, Signals atomic.Int64 }
+
+	cfg   Config
+	conn  *net.UDPConn
+	m     *Machine
+	zero  time.Time
+	view  atomic.Pointer[View]
+	in    chan Received
+	sets  chan SetSignal
+	asks  chan func(*Machine)
+	stop  chan struct{}
+	wait  sync.WaitGroup
+	log   *slog.Logger
+	said  *logs.Limited
+	wrong atomic.Int64
+}
+
+// Start opens the socket and begins. Addr in cfg is where it listens, unless listen names another address.
+func Start(cfg Config, listen string, log *slog.Logger) (*Host, error) {
+	m, err := New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	if listen == "" {
+		listen = cfg.Addr
+	}
+	at, err := netip.ParseAddrPort(listen)
+	if err != nil || !at.Addr().Is4() {
+		return nil, fmt.Errorf("peers.listen: %q is no IPv4 address and port", listen)
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
+	if err != nil {
+		return nil, fmt.Errorf("peers.listen: %w", err)
+	}
+	h := &Host{cfg: cfg, conn: conn, m: m, zero: time.Now(), in: make(chan Received, waiting), sets: make(chan SetSignal, setWaiting),
+		asks: make(chan func(*Machine)), stop: make(chan struct{}), log: log, said: logs.Limit(log, time.Second)}
+	h.view.Store(&View{Self: m.self, Old: true})
+	h.wait.Add(2)
+	go h.read()
+	go h.run()
+	return h, nil
+}
+
+func (h *Host) now() time.Duration { return time.Since(h.zero) }
+
+// View is what is known. A view that was not renewed, since this process stood still, is old whatever it says: the
+// goroutine that renews it may run later than the one that asks.
+func (h *Host) View() View {
+	v := *h.view.Load()
+	if h.now()-v.At > h.cfg.gap() {
+		v.Old = true
+	}
+	return v
+}
+
+// Set gives a signal of this member. It never waits: where too many do, this one is dropped and counted.
+func (h *Host) Set(key string, value []byte, life time.Duration) {
+	select {
+	case h.sets <- SetSignal{Key: key, Value: value, Life: life}:
+	default:
+		h.Dropped.Signals.Add(1)
+	}
+}
+
+// Leave tells the others that this member leaves, or stays after all.
+func (h *Host) Leave(on bool) {
+	h.ask(func(m *Machine) { h.step(Leave{On: on}) })
+}
+
+// Counts are the counters so far; it waits for the goroutine's next turn.
+func (h *Host) Counts() (c Counters) {
+	h.ask(func(m *Machine) { c = m.Counters })
+	c.Malformed += h.wrong.Load()
+	return c
+}
+
+func (h *Host) ask(f func(*Machine)) {
+	done := make(chan struct{})
+	select {
+	case h.asks <- func(m *Machine) { f(m); close(done) }:
+		<-done
+	case <-h.stop:
+	}
+}
+
+// Close ends it.
+func (h *Host) Close() {
+	close(h.stop)
+	_ = h.conn.Close()
+	h.wait.Wait()
+}
+
+// read takes datagrams as fast as they come, and passes on no more than may be: whoever floods harms itself only.
+func (h *Host) read() {
+	defer h.wait.Done()
+	buf := make([]byte, MaxPacket+1) // a longer one is cut by the system, and seen to be too long
+	limits := map[netip.AddrPort]*rate.Limiter{}
+	for {
+		n, from, err := h.conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			select {
+			case <-h.stop:
+				return
+			default: // an ICMP error of something sent before: the socket goes on
+				time.Sleep(time.Millisecond)
+				continue
+			}
+		}
+		l := limits[from]
+		if l == nil {
+			if len(limits) >= sources { // forged ones, most likely: begin anew
+				clear(limits)
+			}
+			l = rate.NewLimiter(perSecond, atOnce)
+			limits[from] = l
+		}
+		if !l.Allow() {
+			h.Dropped.Flooding.Add(1)
+			continue
+		}
+		g, err := Decode(buf[:n])
+		if err != nil {
+			h.wrong.Add(1)
+			h.said.Say(time.Now(), slog.LevelWarn, "peers-malformed", "a datagram that is no message", slog.String("from", from.String()), slog.Any("err", err))
+			continue
+		}
+		select {
+		case h.in <- Received{Message: g, Size: n}:
+		default:
+			h.Dropped.Full.Add(1)
+		}
+	}
+}
+
+func (h *Host) run() {
+	defer h.wait.Done()
+	tick := time.NewTicker(min(max(h.cfg.SilentAfter/60, 5*time.Millisecond), 50*time.Millisecond))
+	defer tick.Stop()
+	published := time.Duration(-1)
+	for {
+		select {
+		case <-h.stop:
+			return
+		case r := <-h.in:
+			h.step(r)
+		case s := <-h.sets:
+			h.step(s)
+		case f := <-h.asks:
+			f(h.m)
+		case <-tick.C:
+			h.step(Tick{})
+		}
+		if now := h.now(); published < 0 || now-published >= h.cfg.gossipEvery()/2 || h.m.old != h.view.Load().Old {
+			v := h.m.View()
+			h.view.Store(&v)
+			published = now
+			h.said.Flush(time.Now())
+		}
+	}
+}
+
+func (h *Host) step(ev Event) {
+	for _, e := range h.m.Step(h.now(), ev, nil) {
+		switch e := e.(type) {
+		case Send:
+			h.send(e)
+		case Changed:
+			h.log.Info("peer", "name", e.Name, "state", e.State.String(), "was", e.Was.String(), "generation", e.Generation, "why", e.Reason)
+		case Aged:
+			h.log.Warn("the view of other balancers is old", "on", e.On)
+		}
+	}
+}
+
+func (h *Host) send(e Send) {
+	to, err := netip.ParseAddrPort(e.To)
+	if err != nil || !to.Addr().Is4() {
+		h.Dropped.Unsent.Add(1)
+		return
+	}
+	b, err := Encode(e.Message)
+	if err != nil {
+		h.Dropped.Unsent.Add(1)
+		h.said.Say(time.Now(), slog.LevelError, "peers-encode", "a message that can't be sent", slog.Any("err", err))
+		return
+	}
+	h.m.Counters.BytesOut += int64(len(b))
+	if _, err := h.conn.WriteToUDPAddrPort(b, to); err != nil {
+		h.Dropped.Unsent.Add(1)
+	}
+}
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -45,10 +45,11 @@
 	At               time.Duration
 	Kind             Kind
 	ID, Region, Text string
+	By               string // the balancer, where several are judged: what one was told binds that one only
 }
 
 func (e Event) String() string {
-	return strings.TrimSpace(fmt.Sprintf("%10.3f ms  %-18v %s %s %s", float64(e.At)/1e6, e.Kind, e.ID, e.Region, e.Text))
+	return strings.TrimSpace(fmt.Sprintf("%10.3f ms  %-18v %s %s %s %s", float64(e.At)/1e6, e.Kind, e.ID, e.Region, e.Text, e.By))
 }
 
 // Violation is one broken rule: the event that broke it, and what had happened to the same transaction or region.
@@ -80,7 +81,7 @@
 	mu      sync.Mutex
 	list    []Violation
 	byID    map[string]*transaction
-	told    map[string]Event // the latest state of a region that takes nothing new
+	told    map[[2]string]Event // the latest state of a region that takes nothing new, by balancer and region
 	counts  map[Kind]int
 	history map[string][]Event // of regions
 }
@@ -103,7 +104,7 @@
 
 // New returns a checker.
 func New(l Limits) *Checker {
-	return &Checker{limits: l, byID: map[string]*transaction{}, told: map[string]Event{}, counts: map[Kind]int{}, history: map[string][]Event{}}
+	return &Checker{limits: l, byID: map[string]*transaction{}, told: map[[2]string]Event{}, counts: map[Kind]int{}, history: map[string][]Event{}}
 }
 
 // Add takes one event.
@@ -113,10 +114,10 @@
 	c.counts[e.Kind]++
 	if e.Kind == Told {
 		c.history[e.Region] = append(c.history[e.Region], e)
-		if _, was := c.told[e.Region]; e.Text == "ready" {
-			delete(c.told, e.Region)
+		if _, was := c.told[[2]string{e.By, e.Region}]; e.Text == "ready" {
+			delete(c.told, [2]string{e.By, e.Region})
 		} else if !was {
-			c.told[e.Region] = e
+			c.told[[2]string{e.By, e.Region}] = e
 		}
 		return
 	}
@@ -152,7 +153,7 @@
 	case Receipt:
 		t.receipts[e.Text] = true
 	case Routed:
-		if told, ok := c.told[e.Region]; ok && e.At-told.At > c.limits.Grace+c.limits.Slack {
+		if told, ok := c.told[[2]string{e.By, e.Region}]; ok && e.At-told.At > c.limits.Grace+c.limits.Slack {
 			c.broken(fmt.Sprintf("something new %v after the region was told %s", (e.At-told.At).Round(time.Millisecond), told.Text), t, e, told)
 		}
 		if _, again := t.out[e.Region]; again {
--- a/internal/standin/discovery.go
+++ b/internal/standin/discovery.go
@@ -23,7 +23,6 @@
 	hosts   map[string]Host
 	log     []change
 	down    bool
-	server  *http.Server
 }
 
 type change struct {
@@ -41,21 +40,36 @@
 		return err
 	}
 	d.Addr = l.Addr().String()
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /registry/instances", d.serve)
-	d.server = &http.Server{Handler: mux}
-	w.OnClose(func() {
-		d.mu.Lock()
-		d.down = true
-		close(d.changed)
-		d.changed = make(chan struct{})
-		d.mu.Unlock()
-		_ = d.server.Close()
-	})
-	w.Go(func() { _ = d.server.Serve(l) })
+	d.listen(l, front{d: d})
+	w.OnClose(func() { d.Cut(true) })
 	return nil
 }
 
+// front is where one balancer, or any, asks: the regions' addresses are those that it reaches them at.
+type front struct {
+	d    *Discovery
+	by   string
+	dial map[string]string
+}
+
+// Front opens an address of its own for one balancer, which is told dial in place of the regions' addresses.
+func (d *Discovery) Front(addr, by string, dial map[string]string) (string, error) {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return "", err
+	}
+	d.listen(l, front{d: d, by: by, dial: dial})
+	return l.Addr().String(), nil
+}
+
+func (d *Discovery) listen(l net.Listener, f front) {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /registry/instances", f.serve)
+	s := &http.Server{Handler: mux}
+	d.w.OnClose(func() { _ = s.Close() })
+	d.w.Go(func() { _ = s.Serve(l) })
+}
+
 // Tell changes a region's health: ready, draining or gone. Watches that stand are told at once.
 func (d *Discovery) Tell(region, health string) {
 	d.mu.Lock()
@@ -88,7 +102,8 @@
 	d.changed = make(chan struct{})
 }
 
-func (d *Discovery) serve(out http.ResponseWriter, r *http.Request) {
+func (f front) serve(out http.ResponseWriter, r *http.Request) {
+	d := f.d
 	d.mu.Lock()
 	down := d.down
 	d.mu.Unlock()
@@ -98,7 +113,7 @@
 	}
 	if r.URL.Query().Get("watch") != "1" {
 		d.mu.Lock()
-		body := d.list(-1)
+		body := d.list(-1, f.dial)
 		d.mu.Unlock()
 		_, _ = out.Write(append(body, '\n'))
 		return
@@ -110,7 +125,7 @@
 		changed, stop := d.changed, d.down
 		var body []byte
 		if from < d.seq {
-			body = d.list(from)
+			body = d.list(from, f.dial)
 		}
 		seq, told := d.seq, d.since(from)
 		d.mu.Unlock()
@@ -122,7 +137,7 @@
 		}
 		flush.Flush()
 		for _, c := range told {
-			d.w.Saw(rules.Told, "", c.host.Host, c.host.Health)
+			d.w.SawBy(f.by, rules.Told, "", c.host.Host, c.host.Health)
 		}
 		from = seq
 		select {
@@ -144,7 +159,7 @@
 }
 
 // list is the whole list, or the changes after a version.
-func (d *Discovery) list(from int64) []byte {
+func (d *Discovery) list(from int64, dial map[string]string) []byte {
 	msg := struct {
 		Seq   int64  `json:"seq"`
 		Whole bool   `json:"whole"`
@@ -160,6 +175,11 @@
 			msg.Hosts = append(msg.Hosts, c.host)
 		}
 	}
+	for i, h := range msg.Hosts {
+		if to := dial[h.Host]; to != "" {
+			msg.Hosts[i].Dial = to
+		}
+	}
 	body, _ := json.Marshal(msg)
 	return body
 }
--- a/internal/standin/process.go
+++ b/internal/standin/process.go
@@ -186,3 +186,22 @@
 	system, _ := strconv.Atoi(f[13])
 	return time.Duration(user+system) * 10 * time.Millisecond
 }
+
+// Datagrams is how many UDP sockets the process holds now.
+func (p *Process) Datagrams() (n int) {
+	mine := map[string]bool{}
+	dir := fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid)
+	list, _ := os.ReadDir(dir)
+	for _, e := range list {
+		if to, err := os.Readlink(dir + "/" + e.Name()); err == nil {
+			mine[strings.TrimSuffix(strings.TrimPrefix(to, "socket:["), "]")] = true
+		}
+	}
+	body, _ := os.ReadFile(fmt.Sprintf("/proc/%d/net/udp", p.cmd.Process.Pid))
+	for _, line := range strings.Split(string(body), "\n")[1:] {
+		if f := strings.Fields(line); len(f) > 9 && mine[f[9]] {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -157,7 +157,7 @@
 	}
 	id := words[1]
 	r.took.Add(1)
-	r.w.Saw(rules.Routed, id, r.Name, "")
+	r.w.SawBy(r.w.who(c), rules.Routed, id, r.Name, "")
 	defer r.w.Saw(rules.RoutedEnded, id, r.Name, "")
 	switch f {
 	case Busy:
--- a/internal/standin/terminal.go
+++ b/internal/standin/terminal.go
@@ -22,6 +22,9 @@
 	in   *bufio.Reader
 	done bool
 	sent int
+	// Excuse, if set, tells that the balancer owes nothing: it was killed meanwhile, say. What it left unanswered then is
+	// no broken rule.
+	Excuse func() bool
 }
 
 var ids atomic.Int64
@@ -98,7 +101,11 @@
 	default:
 		a.What = "reset"
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+	case t.Excuse != nil && t.Excuse():
+		t.w.Saw(rules.Left, t.ID, "", a.What)
+	default:
 		t.w.Saw(rules.Unanswered, t.ID, "", a.What)
 	}
 	return a
--- a/internal/standin/world.go
+++ b/internal/standin/world.go
@@ -24,10 +24,12 @@
 	Checker   *rules.Checker
 	Regions   []*Region
 	Discovery Discovery
-	began     time.Time
-	mu        sync.Mutex
-	ends      []func()
-	wait      sync.WaitGroup
+	// Who names the balancer that a connection comes from, where several run; "" is all of them.
+	Who   func(from net.Addr) string
+	began time.Time
+	mu    sync.Mutex
+	ends  []func()
+	wait  sync.WaitGroup
 }
 
 // New starts a world with so many regions, r1 and on, and a discovery that lists them. The regions listen on
@@ -68,6 +70,18 @@
 	w.Checker.Add(rules.Event{At: w.Now(), Kind: kind, ID: id, Region: region, Text: text})
 }
 
+// SawBy tells the checker of something that one balancer did or was told.
+func (w *World) SawBy(by string, kind rules.Kind, id, region, text string) {
+	w.Checker.Add(rules.Event{At: w.Now(), Kind: kind, ID: id, Region: region, Text: text, By: by})
+}
+
+func (w *World) who(c net.Conn) string {
+	if w.Who == nil {
+		return ""
+	}
+	return w.Who(c.RemoteAddr())
+}
+
 // OnClose has something ended with the world, the last first.
 func (w *World) OnClose(f func()) {
 	w.mu.Lock()
@@ -121,6 +135,9 @@
 	Advice            bool // terminals heed BUSY MS
 	PassThrough       bool // packets pass through
 	Tenants           map[string]float64
+	Discovery         string            // where this balancer finds it; the world's own address if ""
+	Dial              map[string]string // where this balancer reaches a region, by name; its own address if none
+	Balancers         int               // 1 if 0
 }
 
 // Config is a balancer's PROXY_CONFIG. It listens on a free port of listen.
@@ -137,16 +154,25 @@
 		tenants = append(tenants, map[string]any{"name": name, "fraction": share})
 		quotas = append(quotas, 1000*share)
 	}
+	if o.Discovery == "" {
+		o.Discovery = w.Discovery.Addr
+	}
+	known := w.Hosts()
+	for i, h := range known {
+		if to := o.Dial[h.Host]; to != "" {
+			known[i].Dial = to
+		}
+	}
 	mode := "proxy"
 	if o.PassThrough {
 		mode = "pass"
 	}
 	body, err := json.Marshal(map[string]any{
-		"name": name, "listen": listen, "discovery": w.Discovery.Addr, "seed": "8c1f30d27a5be964",
+		"name": name, "listen": listen, "discovery": o.Discovery, "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1, "memory_mb": o.MemoryMB, "sockets": o.Sockets},
-		"known":  map[string]any{"seq": 0, "whole": true, "hosts": w.Hosts()},
+		"known":  map[string]any{"seq": 0, "whole": true, "hosts": known},
 		"settings": map[string]any{
-			"zone": "here", "balancers": 1, "granularity-ms": 5.0, "membership-mode": "on_request",
+			"zone": "here", "balancers": max(1, o.Balancers), "granularity-ms": 5.0, "membership-mode": "on_request",
 			"limits": map[string]any{"max-attempts": o.Attempts, "probes": true, "retry-after": o.Advice,
 				"max-retry-after-ms": 2000.0, "connect-timeout-ms": 250.0},
 			"reporting":   map[string]any{"how": "pull", "columns": []string{"lat_ms", "rif", "x0"}},
--- /dev/null
+++ b/internal/storm/faults.go
@@ -0,0 +1,243 @@
+package storm
+
+import (
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"syscall"
+	"time"
+)
+
+// The faults of processes and links. Each begins, and ends by what begin returns. A fault that keeps a balancer from
+// answering, or a terminal from hearing it, is told to the world: what is lost by it breaks no rule.
+
+func anyOne(rng *rand.Rand, s *Schedule) Fault { return Fault{A: 1 + rng.IntN(s.Balancers)} }
+
+func someOrAll(rng *rand.Rand, s *Schedule) Fault {
+	f := anyOne(rng, s)
+	if rng.IntN(5) == 0 {
+		f.A = 0
+	}
+	return f
+}
+
+// pair is a directed link between two, or from one to all.
+func pair(rng *rand.Rand, s *Schedule) Fault {
+	f := Fault{A: 1 + rng.IntN(s.Balancers), B: rng.IntN(s.Balancers + 1)}
+	return f
+}
+
+func toRegion(rng *rand.Rand, s *Schedule) Fault {
+	return Fault{A: rng.IntN(s.Balancers + 1), B: rng.IntN(s.Regions + 1)}
+}
+
+// each calls f for the balancers that a fault is about.
+func (w *World) each(a int, f func(i int)) {
+	for i := range w.Schedule.Balancers {
+		if a == 0 || a == i+1 {
+			f(i)
+		}
+	}
+}
+
+// process is a fault that ends processes and starts them again when it is over.
+func process(change func(w *World, i int), dir func(w *World, i int)) func(*World, Fault) func() {
+	return func(w *World, f Fault) func() {
+		w.each(f.A, func(i int) {
+			w.trouble(i, true)
+			if w.hold(i, 1) {
+				change(w, i)
+			}
+		})
+		return func() {
+			w.each(f.A, func(i int) {
+				if dir != nil {
+					dir(w, i)
+				}
+				if w.hold(i, -1) {
+					w.start(i)
+				}
+				w.trouble(i, false)
+			})
+		}
+	}
+}
+
+func weather(links func(w *World, f Fault) []*link, of func(f Fault) Weather, terminals bool) func(*World, Fault) func() {
+	return func(w *World, f Fault) func() {
+		list := links(w, f)
+		for _, l := range list {
+			l.set(of(f))
+		}
+		if terminals {
+			w.each(f.A, func(i int) { w.trouble(i, true) })
+		}
+		return func() {
+			for _, l := range list {
+				l.set(Weather{})
+			}
+			if terminals {
+				w.each(f.A, func(i int) { w.trouble(i, false) })
+			}
+		}
+	}
+}
+
+// talk are the links from A to B and, for both ways, back.
+func talk(back bool) func(w *World, f Fault) []*link {
+	return func(w *World, f Fault) (list []*link) {
+		for i := range w.Schedule.Balancers {
+			for j := range w.Schedule.Balancers {
+				from := (f.A == 0 || f.A == i+1) && (f.B == 0 || f.B == j+1)
+				to := back && (f.A == 0 || f.A == j+1) && (f.B == 0 || f.B == i+1)
+				if i != j && (from || to) {
+					list = append(list, &w.talk[i][j].link)
+				}
+			}
+		}
+		return list
+	}
+}
+
+// halves are all links between the first A balancers and the others.
+func halves(w *World, f Fault) (list []*link) {
+	for i := range w.Schedule.Balancers {
+		for j := range w.Schedule.Balancers {
+			if (i < f.A) != (j < f.A) {
+				list = append(list, &w.talk[i][j].link)
+			}
+		}
+	}
+	return list
+}
+
+func regionLinks(w *World, f Fault) (list []*link) {
+	w.each(f.A, func(i int) {
+		for j, s := range w.toRegion[i] {
+			if f.B == 0 || f.B == j+1 {
+				list = append(list, &s.link)
+			}
+		}
+	})
+	return list
+}
+
+func discoveryLinks(w *World, f Fault) (list []*link) {
+	w.each(f.A, func(i int) { list = append(list, &w.toDiscovery[i].link) })
+	return list
+}
+
+func terminalLinks(w *World, f Fault) (list []*link) {
+	w.each(f.A, func(i int) { list = append(list, &w.toBalancer[i].link) })
+	return list
+}
+
+func init() {
+	register("kill", kind{draw: someOrAll, begin: process(func(w *World, i int) { w.kill(i) }, nil)})
+	register("kill-lose-state", kind{draw: someOrAll, begin: process(func(w *World, i int) { w.kill(i) }, func(w *World, i int) {
+		_ = os.RemoveAll(w.dirs[i])
+		_ = os.MkdirAll(w.dirs[i], 0o700)
+	})})
+	register("kill-no-state", kind{draw: anyOne, begin: process(func(w *World, i int) { w.kill(i) }, func(w *World, i int) {
+		// Nothing can be written there: what stands in for a full disk.
+		_ = os.RemoveAll(w.dirs[i])
+		_ = os.WriteFile(w.dirs[i], nil, 0o600)
+	})})
+	register("leave", kind{draw: anyOne, begin: process(func(w *World, i int) { w.leave(i) }, nil)})
+	register("flap", kind{draw: anyOne, begin: func(w *World, f Fault) func() {
+		stop, over := make(chan struct{}), make(chan struct{})
+		w.each(f.A, func(i int) { w.trouble(i, true) })
+		die := func(i int) {
+			if w.hold(i, 1) {
+				w.kill(i)
+			}
+		}
+		rise := func(i int) {
+			if w.hold(i, -1) {
+				w.start(i)
+			}
+		}
+		go func() {
+			defer close(over)
+			for {
+				w.each(f.A, die)
+				goesOn := pause(stop, 300*time.Millisecond)
+				w.each(f.A, rise)
+				if !goesOn || !pause(stop, 700*time.Millisecond) {
+					return
+				}
+			}
+		}()
+		return func() {
+			close(stop)
+			<-over
+			w.each(f.A, func(i int) { w.trouble(i, false) })
+		}
+	}})
+	register("stop", kind{draw: someOrAll, begin: func(w *World, f Fault) func() {
+		w.each(f.A, func(i int) { w.trouble(i, true); w.signal(i, syscall.SIGSTOP) })
+		return func() { w.each(f.A, func(i int) { w.signal(i, syscall.SIGCONT); w.trouble(i, false) }) }
+	}})
+	register("talk-cut", kind{draw: pair, toB: "balancer", begin: weather(talk(true), func(Fault) Weather { return Weather{Cut: true} }, false)})
+	register("talk-one-way", kind{draw: pair, toB: "balancer", begin: weather(talk(false), func(Fault) Weather { return Weather{Cut: true} }, false)})
+	register("talk-loss", kind{draw: func(rng *rand.Rand, s *Schedule) Fault {
+		f := pair(rng, s)
+		f.Value = []float64{0.1, 0.3, 0.9}[rng.IntN(3)]
+		return f
+	}, toB: "balancer", begin: weather(talk(true), func(f Fault) Weather { return Weather{Loss: min(f.Value, 1), Double: 0.1} }, false)})
+	register("talk-late", kind{draw: func(rng *rand.Rand, s *Schedule) Fault {
+		f := pair(rng, s)
+		f.Value = 10 + 400*rng.Float64() // ms
+		return f
+	}, toB: "balancer", begin: weather(talk(true), func(f Fault) Weather {
+		d := time.Duration(f.Value * float64(time.Millisecond))
+		return Weather{Delay: d / 2, Jitter: d, Double: 0.2}
+	}, false)})
+	register("halves", kind{draw: func(rng *rand.Rand, s *Schedule) Fault { return Fault{A: 1 + rng.IntN(max(1, s.Balancers-1))} },
+		begin: weather(halves, func(Fault) Weather { return Weather{Cut: true} }, false)})
+	register("region-late", kind{draw: func(rng *rand.Rand, s *Schedule) Fault {
+		f := toRegion(rng, s)
+		f.Value = 5 + 200*rng.Float64()
+		return f
+	}, toB: "region", begin: weather(regionLinks, func(f Fault) Weather {
+		return Weather{Delay: time.Duration(f.Value * float64(time.Millisecond))}
+	}, false)})
+	register("region-refuses", kind{draw: toRegion, toB: "region", begin: weather(regionLinks, func(Fault) Weather { return Weather{Refuse: true} }, false)})
+	register("region-cut", kind{draw: toRegion, toB: "region", begin: weather(regionLinks, func(Fault) Weather { return Weather{Cut: true} }, false)})
+	register("region-resets", kind{draw: toRegion, toB: "region", begin: func(w *World, f Fault) func() {
+		w.each(f.A, func(i int) {
+			for j, s := range w.toRegion[i] {
+				if f.B == 0 || f.B == j+1 {
+					s.breakAll()
+				}
+			}
+		})
+		return func() {}
+	}})
+	register("region-drains", kind{draw: func(rng *rand.Rand, s *Schedule) Fault { return Fault{B: 1 + rng.IntN(s.Regions)} }, toB: "region",
+		begin: func(w *World, f Fault) func() {
+			name := w.Regions[max(0, f.B-1)].Name
+			w.Discovery.Tell(name, "draining")
+			return func() { w.Discovery.Tell(name, "ready") }
+		}})
+	register("discovery-cut", kind{draw: someOrAll, begin: weather(discoveryLinks, func(Fault) Weather { return Weather{Cut: true} }, false)})
+	register("discovery-refuses", kind{draw: someOrAll, begin: weather(discoveryLinks, func(Fault) Weather { return Weather{Refuse: true} }, false)})
+	register("terminals-cut", kind{draw: anyOne, begin: weather(terminalLinks, func(Fault) Weather { return Weather{Cut: true} }, true)})
+	register("terminals-slow", kind{draw: func(rng *rand.Rand, s *Schedule) Fault {
+		f := anyOne(rng, s)
+		f.Value = 200 + 5000*rng.Float64()
+		return f
+	}, begin: weather(terminalLinks, func(f Fault) Weather { return Weather{Rate: int(max(50, f.Value))} }, true)})
+}
+
+// pause waits, and tells whether the storm goes on.
+func pause(stop <-chan struct{}, d time.Duration) bool {
+	select {
+	case <-stop:
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
+func (w *World) dir(i int) string { return filepath.Join(w.temp, w.name(i)) }
--- /dev/null
+++ b/internal/storm/run.go
@@ -0,0 +1,168 @@
+package storm
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+// Report is what a storm came to.
+type Report struct {
+	Schedule *Schedule
+	Broken   []string
+	Settled  time.Duration // after the last fault, until all members agreed
+	Served   int
+	Members  Members
+}
+
+// Invariant judges the processes of a storm from outside, beside the checker of the rules. Later work registers its own.
+type Invariant interface {
+	// During looks while faults go on, Settled after the last: "" once all is as it should be, else what is missing.
+	During(w *World)
+	Settled(w *World) string
+}
+
+// Run plays a schedule: faults, each at its time, then time to settle, then the judgement.
+func Run(s *Schedule, o Options) (*Report, error) {
+	w, err := Open(s, o)
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	members := &Members{}
+	invariants := []Invariant{members}
+	if o.Off {
+		invariants = nil
+	}
+	if missing := w.settle(invariants, 20*w.options.SilentAfter+2*time.Second); missing != "" {
+		return &Report{Schedule: s, Broken: []string{"before any fault: " + missing}}, nil
+	}
+	began := w.Now()
+	w.mu.Lock()
+	w.began = began
+	w.mu.Unlock()
+	over := make(chan struct{})
+	var looking sync.WaitGroup
+	looking.Add(1)
+	go func() {
+		defer looking.Done()
+		for pause(over, 300*time.Millisecond) {
+			for _, i := range invariants {
+				i.During(w)
+			}
+		}
+	}()
+	w.play(began)
+	last := w.Now()
+	missing := w.settle(invariants, 15*w.options.SilentAfter+3*time.Second)
+	r := &Report{Schedule: s, Settled: w.Now() - last}
+	close(over)
+	looking.Wait()
+	if missing != "" {
+		w.find("%v after the last fault: %s", r.Settled.Round(10*time.Millisecond), missing)
+	}
+	time.Sleep(200 * time.Millisecond)
+	w.stopOnce.Do(func() { close(w.stop) })
+	w.asking.Wait() // whoever has asked gets an answer
+	r.Broken = w.Found()
+	if v := w.Violations(); v != "" {
+		r.Broken = append(r.Broken, v)
+	}
+	w.mu.Lock()
+	r.Served = w.Served
+	w.mu.Unlock()
+	r.Members = *members
+	if r.Served == 0 && s.Terminals > 0 {
+		r.Broken = append(r.Broken, "nobody was served: the storm tests nothing")
+	}
+	return r, nil
+}
+
+// play begins and ends the faults in their order of time.
+func (w *World) play(began time.Duration) {
+	type moment struct {
+		at  time.Duration
+		run func()
+	}
+	var ends sync.WaitGroup
+	var list []moment
+	for _, f := range w.Schedule.Faults {
+		ended := make(chan func(), 1)
+		ends.Add(1)
+		list = append(list, moment{time.Duration(f.At), func() { ended <- kinds[f.Kind].begin(w, f) }},
+			moment{time.Duration(f.At + f.For), func() {
+				go func() { defer ends.Done(); (<-ended)() }() // a process takes its time to start
+			}})
+	}
+	slices.SortStableFunc(list, func(a, b moment) int { return int(a.at - b.at) })
+	for _, m := range list {
+		time.Sleep(max(0, began+m.at-w.Now()))
+		m.run()
+	}
+	ends.Wait()
+}
+
+// settle waits until every invariant says that all is as it should be; it returns what is missing when the time is over.
+func (w *World) settle(list []Invariant, most time.Duration) (missing string) {
+	for end := w.Now() + most; w.Now() < end; time.Sleep(30 * time.Millisecond) {
+		missing = ""
+		for _, i := range list {
+			if missing = i.Settled(w); missing != "" {
+				break
+			}
+		}
+		if missing == "" {
+			return ""
+		}
+	}
+	return missing
+}
+
+// Shrink looks for the fewest faults that still break, by leaving out what isn't needed. It plays at most so many times.
+func Shrink(s *Schedule, o Options, plays int) (*Schedule, *Report) {
+	var found *Report
+	breaks := func(faults []Fault) bool {
+		if plays--; plays < 0 {
+			return false
+		}
+		less := *s
+		less.Faults = faults
+		r, err := Run(&less, o)
+		if err == nil && len(r.Broken) > 0 {
+			found = r
+			return true
+		}
+		return false
+	}
+	best := slices.Clone(s.Faults)
+	for part := max(1, len(best)/2); part >= 1 && len(best) > 0; {
+		smaller := false
+		for at := 0; at < len(best) && plays > 0; {
+			without := slices.Concat(best[:at], best[min(at+part, len(best)):])
+			if breaks(without) {
+				best, smaller = without, true
+			} else {
+				at += part
+			}
+		}
+		if part == 1 && !smaller || plays <= 0 {
+			break
+		}
+		part = max(1, part/2)
+	}
+	less := *s
+	less.Name, less.Faults = s.Name+"-shrunk", best
+	return &less, found
+}
+
+// Line is a storm's outcome in one line.
+func (r *Report) Line() string {
+	verdict := "kept"
+	if len(r.Broken) > 0 {
+		verdict = "BROKEN: " + strings.SplitN(r.Broken[0], "\n", 2)[0]
+	}
+	return fmt.Sprintf("%s: %d faults, %d served, settled after %v, %d false ends: %s", r.Schedule.Name, len(r.Schedule.Faults), r.Served,
+		r.Settled.Round(10*time.Millisecond), r.Members.False, verdict)
+}
--- /dev/null
+++ b/internal/storm/schedule.go
@@ -0,0 +1,147 @@
+package storm
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Span is a time in a schedule, "1.5s".
+type Span time.Duration
+
+// MarshalText writes it.
+func (s Span) MarshalText() ([]byte, error) { return []byte(time.Duration(s).String()), nil }
+
+// UnmarshalText reads it.
+func (s *Span) UnmarshalText(b []byte) error {
+	d, err := time.ParseDuration(string(b))
+	if err != nil || d < 0 {
+		return fmt.Errorf("%q is no time such as \"1.5s\"", b)
+	}
+	*s = Span(d)
+	return nil
+}
+
+// Fault is one thing that goes wrong: at a time after all have started, for a while. A and B are balancers (or B a
+// region, where the kind says so), counted from 1; 0 is all.
+type Fault struct {
+	At    Span    `json:"at"`
+	For   Span    `json:"for"`
+	Kind  string  `json:"kind"`
+	A     int     `json:"a,omitempty"`
+	B     int     `json:"b,omitempty"`
+	Value float64 `json:"value,omitempty"`
+}
+
+func (f Fault) String() string {
+	return fmt.Sprintf("%v for %v: %s a=%d b=%d value=%g", time.Duration(f.At), time.Duration(f.For), f.Kind, f.A, f.B, f.Value)
+}
+
+// Schedule is one storm.
+type Schedule struct {
+	Name      string  `json:"name"`
+	Balancers int     `json:"balancers"`
+	Regions   int     `json:"regions"`
+	Terminals int     `json:"terminals"`
+	Seconds   float64 `json:"seconds"` // of faults; the settling follows
+	Faults    []Fault `json:"faults"`
+}
+
+// A storm's size has bounds: each balancer is a process, each link a relay.
+const (
+	mostBalancers = 50
+	mostRegions   = 60
+	mostTerminals = 500
+	mostSeconds   = 600
+)
+
+// kind is what a fault does. Each is registered by the file that holds it: later work adds its own in a file of its own.
+type kind struct {
+	draw  func(rng *rand.Rand, s *Schedule) Fault // A, B and Value; times are drawn for all
+	begin func(w *World, f Fault) (end func())
+	toB   string // what B counts: "balancer", "region" or "" for nothing
+}
+
+var kinds = map[string]kind{}
+
+func register(name string, k kind) { kinds[name] = k }
+
+// Kinds are the names of all faults.
+func Kinds() []string { return slices.Sorted(maps.Keys(kinds)) }
+
+// Check names the first field that can't work.
+func (s *Schedule) Check() error {
+	switch {
+	case s.Balancers < 1 || s.Balancers > mostBalancers:
+		return fmt.Errorf("balancers: %d is outside 1 to %d", s.Balancers, mostBalancers)
+	case s.Regions < 1 || s.Regions > mostRegions:
+		return fmt.Errorf("regions: %d is outside 1 to %d", s.Regions, mostRegions)
+	case s.Terminals < 0 || s.Terminals > mostTerminals:
+		return fmt.Errorf("terminals: %d is outside 0 to %d", s.Terminals, mostTerminals)
+	case !(s.Seconds > 0 && s.Seconds <= mostSeconds):
+		return fmt.Errorf("seconds: %v is outside 0 to %d", s.Seconds, mostSeconds)
+	}
+	for i, f := range s.Faults {
+		k, ok := kinds[f.Kind]
+		most := map[string]int{"balancer": s.Balancers, "region": s.Regions}[k.toB]
+		switch {
+		case !ok:
+			return fmt.Errorf("faults[%d].kind: %q is none of %s", i, f.Kind, strings.Join(Kinds(), ", "))
+		case f.A < 0 || f.A > s.Balancers:
+			return fmt.Errorf("faults[%d].a: there is no balancer %d", i, f.A)
+		case f.B < 0 || f.B > most:
+			return fmt.Errorf("faults[%d].b: there is no %s %d", i, k.toB, f.B)
+		case time.Duration(f.At+f.For).Seconds() > s.Seconds:
+			return fmt.Errorf("faults[%d]: ends %v after the start, the storm after %vs", i, time.Duration(f.At+f.For), s.Seconds)
+		case !(f.Value >= 0 && f.Value <= 1e9):
+			return fmt.Errorf("faults[%d].value: %v", i, f.Value)
+		}
+	}
+	return nil
+}
+
+// Load reads a schedule's file. An error is one line with the file, the line where there is one, and the field.
+func Load(path string) (*Schedule, error) {
+	body, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	s := &Schedule{}
+	d := json.NewDecoder(bytes.NewReader(body))
+	d.DisallowUnknownFields()
+	if err = d.Decode(s); err != nil {
+		return nil, fmt.Errorf("%s:%d: %w", path, 1+bytes.Count(body[:min(int(d.InputOffset()), len(body))], []byte("\n")), err)
+	}
+	if err = s.Check(); err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
+
+// Draw makes a schedule from a seed: one to eight faults of any kind, some at once, some after each other.
+func Draw(seed uint64, balancers int, seconds float64) *Schedule {
+	rng := rand.New(rand.NewPCG(seed, 23))
+	s := &Schedule{Name: fmt.Sprintf("seed-%d", seed), Balancers: balancers, Regions: 4 + rng.IntN(5), Terminals: 4 * balancers, Seconds: seconds}
+	names := Kinds()
+	for range 1 + rng.IntN(8) {
+		name := names[rng.IntN(len(names))]
+		f := kinds[name].draw(rng, s)
+		f.Kind = name
+		at := rng.Float64() * seconds * 0.8
+		long := (0.05 + 0.5*rng.Float64()) * seconds
+		f.At = Span(time.Duration(at * float64(time.Second)).Round(10 * time.Millisecond))
+		f.For = Span(time.Duration(min(long, seconds-at) * float64(time.Second)).Truncate(10 * time.Millisecond))
+		if f.At+f.For > Span(seconds*float64(time.Second)) {
+			f.For = Span(seconds*float64(time.Second)) - f.At
+		}
+		s.Faults = append(s.Faults, f)
+	}
+	slices.SortStableFunc(s.Faults, func(a, b Fault) int { return int(a.At - b.At) })
+	return s
+}
--- /dev/null
+++ b/internal/storm/world.go
@@ -0,0 +1,426 @@
+package storm
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"oatloft/internal/edge"
+	"oatloft/internal/rules"
+	"oatloft/internal/standin"
+)
+
+// Options say how a storm is run.
+type Options struct {
+	Binary      string        // of the balancer
+	Net         int           // second byte of the storm's addresses, 20 to 119: storms side by side need their own
+	SilentAfter time.Duration // of the members; 600 ms if 0
+	Env         []string      // further environment of the balancers
+	Off         bool          // without the peers section: nobody knows of anybody
+}
+
+// World is one storm under way.
+type World struct {
+	*standin.World
+	Schedule *Schedule
+	options  Options
+	temp     string
+	dirs     []string
+
+	talk        [][]*datagrams // from, to
+	toRegion    [][]*streams   // balancer, region
+	toDiscovery []*streams
+	toBalancer  []*streams
+
+	mu        sync.Mutex
+	processes []*standin.Process
+	launches  []standin.Launch
+	killed    []bool // on purpose
+	down      []int  // faults that keep it dead
+	troubles  [][]span
+	found     []string
+	began     time.Duration // of the faults
+	stop      chan struct{}
+	asking    sync.WaitGroup // terminals
+	stopOnce  sync.Once
+	Served    int
+}
+
+// span is a time in which a balancer may owe something and not give it.
+type span struct{ from, to time.Duration }
+
+const afterTrouble = 700 * time.Millisecond // what was on its way meanwhile
+
+func (w *World) addr(a, b, c int) string {
+	return fmt.Sprintf("127.%d.%d.%d", w.options.Net, a, b) + fmt.Sprintf(":%d", c)
+}
+
+func (w *World) name(i int) string { return fmt.Sprintf("b%02d", i+1) }
+
+// Addresses: 0.i is balancer i itself, i.j the way from i to j, 100+i.* the ways of i to regions, 250 its own source
+// there, 251 to discovery, 160+i.1 the way of terminals to it.
+const (
+	talkPort, terminalPort, managePort, regionPort, discoveryPort = 7000, 9000, 9100, 9200, 8000
+	waysOut, waysIn, sourceByte, discoveryByte                    = 100, 160, 250, 251
+)
+
+// Open starts the parties and the balancers of a schedule. Close ends all of them.
+func Open(s *Schedule, o Options) (w *World, err error) {
+	if err := s.Check(); err != nil {
+		return nil, err
+	}
+	if o.SilentAfter == 0 {
+		o.SilentAfter = 600 * time.Millisecond
+	}
+	if o.Net < 20 || o.Net > 119 {
+		return nil, fmt.Errorf("net: %d is outside 20 to 119", o.Net)
+	}
+	w = &World{Schedule: s, options: o, stop: make(chan struct{})}
+	if w.World, err = standin.New(s.Regions); err != nil {
+		return nil, err
+	}
+	defer func() {
+		if err != nil {
+			w.Close()
+		}
+	}()
+	w.Who = func(from net.Addr) string {
+		t, ok := from.(*net.TCPAddr)
+		if !ok || t.IP.To4() == nil || t.IP.To4()[3] != sourceByte {
+			return ""
+		}
+		return w.name(int(t.IP.To4()[2]) - waysOut - 1)
+	}
+	if w.temp, err = os.MkdirTemp("", "oatlab-storm"); err != nil {
+		return nil, err
+	}
+	w.OnClose(func() { _ = os.RemoveAll(w.temp) })
+	for i := range s.Balancers {
+		if err = w.prepare(i); err != nil {
+			return nil, err
+		}
+	}
+	var all sync.WaitGroup
+	for i := range s.Balancers {
+		all.Add(1)
+		go func() { defer all.Done(); w.start(i) }()
+	}
+	all.Wait()
+	if found := w.Found(); len(found) > 0 {
+		return nil, errors.New(strings.Join(found, "\n"))
+	}
+	w.Go(w.watchProcesses)
+	for n := range s.Terminals {
+		w.asking.Add(1)
+		w.Go(func() { defer w.asking.Done(); w.terminal(n) })
+	}
+	return w, nil
+}
+
+// Close ends the storm.
+func (w *World) Close() {
+	w.stopOnce.Do(func() { close(w.stop) })
+	w.mu.Lock()
+	for i := range w.killed {
+		w.killed[i] = true
+	}
+	w.mu.Unlock()
+	w.World.Close()
+}
+
+// prepare opens the ways of a balancer and writes its files.
+func (w *World) prepare(i int) (err error) {
+	n := w.Schedule.Balancers
+	w.talk = append(w.talk, make([]*datagrams, n))
+	reach := map[string]string{}
+	var join []string
+	for j := range n {
+		if i == j || w.options.Off {
+			continue
+		}
+		at := w.addr(i+1, j+1, talkPort)
+		d, err := newDatagrams(at, w.addr(0, j+1, talkPort))
+		if err != nil {
+			return err
+		}
+		w.talk[i][j] = d
+		w.OnClose(func() { _ = d.conn.Close() })
+		w.Go(d.run)
+		reach[w.name(j)] = at
+		if len(join) < 2 {
+			join = append(join, at)
+		}
+	}
+	dial := map[string]string{}
+	w.toRegion = append(w.toRegion, nil)
+	for j, r := range w.Regions {
+		at := w.addr(waysOut+i+1, j+1, regionPort)
+		s, err := w.way(at, fmt.Sprintf("127.%d.%d.%d", w.options.Net, waysOut+i+1, sourceByte), r.Addr)
+		if err != nil {
+			return err
+		}
+		s.ended = func(line string) { // the balancer has given the task up, and the region can't know
+			if f := strings.Fields(line); len(f) > 1 {
+				w.Saw(rules.RoutedEnded, f[1], r.Name, "given up over a cut link")
+			}
+		}
+		w.toRegion[i] = append(w.toRegion[i], s)
+		dial[r.Name] = at
+	}
+	front, err := w.Discovery.Front(w.addr(waysOut+i+1, discoveryByte+1, discoveryPort), w.name(i), dial)
+	if err != nil {
+		return err
+	}
+	s, err := w.way(w.addr(waysOut+i+1, discoveryByte, discoveryPort), "", front)
+	if err != nil {
+		return err
+	}
+	w.toDiscovery = append(w.toDiscovery, s)
+	listen := w.addr(0, i+1, terminalPort)
+	if s, err = w.way(w.addr(waysIn+i+1, 1, terminalPort), "", listen); err != nil {
+		return err
+	}
+	w.toBalancer = append(w.toBalancer, s)
+
+	dir := w.dir(i)
+	w.dirs = append(w.dirs, dir)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	config := filepath.Join(w.temp, w.name(i)+".json")
+	body := w.Config(w.name(i), listen, standin.Options{Sockets: 512, MemoryMB: 64, Dial: dial,
+		Discovery: w.addr(waysOut+i+1, discoveryByte, discoveryPort), Balancers: n})
+	if err := os.WriteFile(config, body, 0o600); err != nil {
+		return err
+	}
+	l := standin.Launch{Binary: w.options.Binary, Config: config, Addr: listen, Management: w.addr(0, i+1, managePort),
+		Env: append([]string{"TMPDIR=" + dir}, w.options.Env...)}
+	if !w.options.Off {
+		file := filepath.Join(w.temp, w.name(i)+".edge.json")
+		e := edge.Settings{Form: edge.Form, Source: "storm", Peers: &edge.Peers{Cluster: "storm", Listen: w.addr(0, i+1, talkPort), Join: join,
+			Reach: reach, SilentAfter: edge.Duration(w.options.SilentAfter), MaxMembers: 256, SignalBytes: 4096,
+			SignalEvery: edge.Duration(200 * time.Millisecond), SignalLife: edge.Duration(2 * time.Second)}}
+		body, err := json.Marshal(e)
+		if err != nil {
+			return err
+		}
+		if err := os.WriteFile(file, body, 0o600); err != nil {
+			return err
+		}
+		l.Args = []string{"--edge", file}
+	}
+	w.launches = append(w.launches, l)
+	w.processes = append(w.processes, nil)
+	w.killed = append(w.killed, true)
+	w.down = append(w.down, 0)
+	w.troubles = append(w.troubles, nil)
+	return nil
+}
+
+func (w *World) way(at, from, to string) (*streams, error) {
+	s, err := newStreams(at, from, to)
+	if err != nil {
+		return nil, err
+	}
+	w.OnClose(s.close)
+	w.Go(s.run)
+	return s, nil
+}
+
+func (w *World) start(i int) {
+	select {
+	case <-w.stop:
+		return
+	default:
+	}
+	p, err := w.Start(w.launches[i])
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err != nil {
+		select {
+		case <-w.stop:
+		default:
+			w.found = append(w.found, fmt.Sprintf("%s failed to start: %v", w.name(i), err))
+		}
+		return
+	}
+	w.processes[i], w.killed[i] = p, false
+}
+
+// hold keeps a balancer dead for one more fault, or for one less; it tells whether it is the first or the last of them.
+func (w *World) hold(i, more int) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.down[i] += more
+	return w.down[i] == max(0, more)
+}
+
+func (w *World) take(i int, killed bool) *standin.Process {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.killed[i] = killed
+	return w.processes[i]
+}
+
+func (w *World) kill(i int) {
+	if p := w.take(i, true); p != nil {
+		p.Kill()
+	}
+}
+
+// leave ends a balancer with SIGTERM, and by force if it doesn't go.
+func (w *World) leave(i int) {
+	p := w.take(i, true)
+	if p == nil {
+		return
+	}
+	p.Signal(syscall.SIGTERM)
+	if err := p.Over(5 * time.Second); err != nil {
+		w.find("%s did not leave: %v", w.name(i), err)
+		p.Kill()
+	}
+}
+
+func (w *World) signal(i int, s syscall.Signal) {
+	w.mu.Lock()
+	p := w.processes[i]
+	w.mu.Unlock()
+	if p != nil {
+		p.Signal(s)
+	}
+}
+
+// watchProcesses finds a balancer that ends by itself.
+func (w *World) watchProcesses() {
+	for pause(w.stop, 100*time.Millisecond) {
+		w.mu.Lock()
+		for i, p := range w.processes {
+			if p == nil || w.killed[i] {
+				continue
+			}
+			if err := p.Over(0); err == nil || err.Error() != "still running" {
+				w.killed[i] = true
+				w.found = append(w.found, fmt.Sprintf("%s crashed: %v\n%s", w.name(i), err, last(p.Log(), 2000)))
+			}
+		}
+		w.mu.Unlock()
+	}
+}
+
+func last(text string, n int) string { return text[max(0, len(text)-n):] }
+
+// trouble notes that a balancer may leave something unanswered from now on, or no longer.
+func (w *World) trouble(i int, on bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if on {
+		w.troubles[i] = append(w.troubles[i], span{from: w.Now(), to: 1 << 62})
+		return
+	}
+	for k := range w.troubles[i] {
+		if w.troubles[i][k].to == 1<<62 {
+			w.troubles[i][k].to = w.Now() + afterTrouble
+			return
+		}
+	}
+}
+
+// troubled tells whether it was so at any time since then.
+func (w *World) troubled(i int, since time.Duration) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, s := range w.troubles[i] {
+		if s.to >= since {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) find(format string, args ...any) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.found) < 20 {
+		w.found = append(w.found, fmt.Sprintf(format, args...))
+	}
+}
+
+// Found is what was found so far, beside the rules' own checker.
+func (w *World) Found() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.found...)
+}
+
+// terminal asks, stands for a while sending lines, and comes again, as one client does after another.
+func (w *World) terminal(n int) {
+	key := fmt.Sprintf("key%d", n)
+	rng := rand.New(rand.NewPCG(uint64(n), 7))
+	for pause(w.stop, time.Duration(10+rng.IntN(150))*time.Millisecond) {
+		i := rng.IntN(w.Schedule.Balancers)
+		since := w.Now()
+		t, err := w.Connect("", w.addr(waysIn+i+1, 1, terminalPort))
+		if err != nil {
+			continue
+		}
+		t.Excuse = func() bool { return w.troubled(i, since) }
+		a := t.Open(standin.Ask{Key: key, More: fmt.Sprintf(",g=group%d", n%7)})
+		if a.What == "UP" {
+			w.mu.Lock()
+			w.Served++
+			w.mu.Unlock()
+			w.stand(t, i, since, rng)
+		}
+		t.Break()
+	}
+}
+
+// stand sends lines for a while. What a cut link or a region has broken is no fault of the balancer's; elsewhere only
+// MOVE ends a connection.
+func (w *World) stand(t *standin.Terminal, i int, since time.Duration, rng *rand.Rand) {
+	for range 1 + rng.IntN(12) {
+		err := t.Echo(9 * time.Second)
+		switch {
+		case err == nil:
+		case errors.Is(err, standin.ErrMoved):
+			return
+		default:
+			select {
+			case <-w.stop:
+				return
+			default:
+			}
+			if !w.troubled(i, since) && !w.regionFaults(since) {
+				w.Saw(rules.Lost, t.ID, "", fmt.Sprintf("%s: %v", w.name(i), err))
+			}
+			return
+		}
+		if !pause(w.stop, time.Duration(50+rng.IntN(400))*time.Millisecond) {
+			return
+		}
+	}
+}
+
+// regionFaults tells whether links to regions were disturbed at any time since then.
+func (w *World) regionFaults(since time.Duration) bool {
+	for _, f := range w.Schedule.Faults {
+		if strings.HasPrefix(f.Kind, "region-") && time.Duration(f.At+f.For)+w.faultsFrom()+8*time.Second >= since {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) faultsFrom() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.began
+}
