Hold a group to stand elsewhere only where this balancer knows of it

At fault: counts() in policy.go called any server a tie fuller that holds none of the group from here.

Now it counts only where this balancer's own connections of the group stand at some other server. The test fails on the code before.

--- a/policy/found_test.go
+++ b/policy/found_test.go
@@ -848,3 +848,26 @@
 		t.Errorf("%d of 60 moved, up to %d in 100 ms", len(moved), most)
 	}
 }
+
+// One of 300 balancers holds few connections, and none of most groups: what it doesn't know of stands nowhere for it, or
+// nearly every newcomer would find servers a tie fuller than they are (calm+mass 0.92 to 0.85).
+func TestAGroupThatIsNotKnownHereOpensAnywhere(t *testing.T) {
+	r := newRig(t, testConfig(), servers(2)...)
+	r.loads["s00"], r.loads["s01"] = 0.7, 0.7
+	for i := range 3 {
+		r.feed(Adopted{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint(i)}, Server: "s00"}) // of no class: passed over
+		r.open(fmt.Sprint("o", i), "s00")                                                       // of no group
+	}
+	r.feed(Request{ID: "x", Key: "x", Group: "g", Class: "safe", Patience: 2 * time.Second})
+	r.run(300 * ms)
+	if _, sent := last[Send](r); !sent {
+		t.Error("held, though both have room and the group is not known to stand anywhere")
+	}
+	for i := range 3 {
+		r.feed(ClientGone{fmt.Sprint("o", i)})
+	}
+	r.feed(Request{ID: "y", Key: "y", Class: "safe", Patience: 2 * time.Second})
+	if s := r.b.servers["s00"]; len(s.groups) > 1 || r.b.groups[""] != 0 {
+		t.Errorf("kept: %v and %v", s.groups, r.b.groups)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -42,7 +42,7 @@
 func New(cfg Config, seed int64) (*Balancer, error) {
 	b := &Balancer{rng: rand.New(rand.NewPCG(uint64(seed), 1)), age: 4 * minAge, window: 16,
 		servers: map[string]*server{}, requests: map[string]*request{}, plans: map[string]plan{},
-		loads: map[string]*mean{}}
+		loads: map[string]*mean{}, groups: map[string]int{}}
 	return b, b.configure(cfg)
 }
 
@@ -338,10 +338,10 @@
 	return s.x + s.placed
 }
 
-// counts is what r finds as load at s. One that holds none of its group from here would do the group's work
-// once more, and for those that follow: groups open elsewhere only where there is room for more than that.
+// counts is what r finds as load at s. If its group is known to stand elsewhere, s would do the group's work
+// once more, and for those that follow: groups open at a further server only where there is room for more.
 func (b *Balancer) counts(s *server, r *request) float64 {
-	if r.Group == "" || s.groups[r.Group] > 0 {
+	if s.groups[r.Group] > 0 || b.groups[r.Group] == 0 {
 		return b.load(s)
 	}
 	return b.load(s) + tieMargin
--- a/policy/state.go
+++ b/policy/state.go
@@ -80,6 +80,7 @@
 	requests               map[string]*request
 	held, conns            []*request // no attempt out, by arrival; open, by set-up
 	plans                  map[string]plan
+	groups                 map[string]int   // own connections by group
 	loads                  map[string]*mean // by class, and of all under ""
 	back                   []*server        // back from a drain, and not sent to since
 	t                      int              // explore slots so far
@@ -120,8 +121,10 @@
 	}
 	if r.open {
 		r.on.open--
-		if r.on.groups[r.Group]--; r.on.groups[r.Group] == 0 {
-			delete(r.on.groups, r.Group)
+		for _, groups := range []map[string]int{r.on.groups, b.groups} {
+			if groups[r.Group]--; groups[r.Group] <= 0 { // also the connections that belong to none
+				delete(groups, r.Group)
+			}
 		}
 		b.conns = without(b.conns, r)
 		if r.tenant != nil {
@@ -134,7 +137,10 @@
 func (b *Balancer) stand(r *request) {
 	r.open = true
 	r.on.open++
-	r.on.groups[r.Group]++
+	if r.Group != "" {
+		r.on.groups[r.Group]++
+		b.groups[r.Group]++
+	}
 	b.conns = append(b.conns, r)
 	if r.tenant != nil {
 		r.tenant.open++
