Show a newcomer the balancers at work, and have storms find ten defects on purpose

oatlab demo: three balancers, six regions, terminals that come and go, one command after the build; keys or flags kill a balancer, cut its talk, drain a region; a live view on a terminal (bubbletea), lines on a pipe, exit 1 if a rule broke.

Without the tag defects.On is a constant false.

oatlab peers measures members in stepped time.

--- a/cmd/oatlab/main.go
+++ b/cmd/oatlab/main.go
@@ -15,6 +15,8 @@
 	Admission admissionTable `cmd:"" help:"Measure what good terminals get while an address makes noise, with admission off and on."`
 	Fleet     fleet          `cmd:"" help:"Count over the traces of many balancers (serve --log-level debug), by second and by region."`
 	Storm     stormCmd       `cmd:"" help:"Put faults between several processes of the balancer, and judge what they do together."`
+	Demo      demo           `cmd:"" help:"Three balancers, six regions and terminals that come and go, to look at and to disturb."`
+	Peers     peersTable     `cmd:"" help:"Measure the members' part in stepped time: deaths, false suspicions, bytes."`
 }
 
 func main() {
--- a/cmd/oatlab/storm.go
+++ b/cmd/oatlab/storm.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
+	"oatloft/internal/defects"
 	"oatloft/internal/storm"
 )
 
@@ -23,6 +25,7 @@
 	Jobs      int     `default:"2" help:"Storms side by side."`
 	Silent    string  `default:"600ms" help:"silent_after of the members."`
 	Shrink    int     `default:"12" help:"Plays to spend on shrinking the first storm that breaks; 0 for none."`
+	Defects   string  `type:"path" help:"A balancer built with -tags defects: play until each of its defects is found, and print a table."`
 	Print     bool    `help:"Print each drawn schedule too."`
 }
 
@@ -47,6 +50,9 @@
 	if _, err := os.Stat(binary); err != nil {
 		return fmt.Errorf("--binary: %w", err)
 	}
+	if c.Defects != "" {
+		return c.find(silent)
+	}
 	type outcome struct {
 		r   *storm.Report
 		err error
@@ -120,3 +126,57 @@
 		fmt.Println(string(body))
 	}
 }
+
+// find plays storms against a balancer with one defect after the other, until each is found or the seeds are over.
+func (c *stormCmd) find(silent time.Duration) error {
+	type found struct {
+		seeds int
+		what  string
+	}
+	results := make([]found, len(defects.All))
+	next := make(chan int)
+	go func() {
+		for i := range defects.All {
+			next <- i
+		}
+		close(next)
+	}()
+	var all sync.WaitGroup
+	for n := range c.Jobs {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			for i := range next {
+				for seed := range c.Seeds {
+					s := storm.Draw(c.Seed+uint64(seed), c.Balancers, c.Seconds)
+					r, err := storm.Run(s, storm.Options{Binary: c.Defects, Net: 20 + n, SilentAfter: silent, Env: []string{"OATLOFT_DEFECT=" + defects.All[i].Name}})
+					if err != nil {
+						results[i] = found{seed + 1, "at the start: " + err.Error()}
+						break
+					}
+					if len(r.Broken) > 0 {
+						results[i] = found{seed + 1, r.Broken[0]}
+						break
+					}
+				}
+			}
+		}()
+	}
+	all.Wait()
+	missed := 0
+	fmt.Println("| defect | what it breaks | to be found by | seeds | found |\n| --- | --- | --- | --- | --- |")
+	for i, d := range defects.All {
+		r := results[i]
+		if r.seeds == 0 {
+			missed++
+			fmt.Printf("| %s | %s | %s | none of %d | - |\n", d.Name, d.Breaks, d.FoundBy, c.Seeds)
+			continue
+		}
+		first, _, _ := strings.Cut(r.what, "\n")
+		fmt.Printf("| %s | %s | %s | %d | %s |\n", d.Name, d.Breaks, d.FoundBy, r.seeds, first)
+	}
+	if missed > 0 {
+		return fmt.Errorf("%d defects were not found", missed)
+	}
+	return nil
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"oatloft/internal/defects"
 	"oatloft/policy"
 )
 
@@ -398,7 +399,9 @@
 
 // giveUp closes a routed task and tells the module how it ended.
 func (r *Reducer) giveUp(t *transaction, how policy.Result) {
-	r.do(DropTask{Of: t.from, Attempt: t.attempt})
+	if !defects.On("task-kept") {
+		r.do(DropTask{Of: t.from, Attempt: t.attempt})
+	}
 	r.outcome(t, how)
 }
 
@@ -652,6 +655,9 @@
 	servers := make([]policy.Server, 0, len(ev.Regions))
 	named := make(map[string]bool, len(ev.Regions))
 	for _, g := range ev.Regions {
+		if g.State == policy.Draining && defects.On("drain-unheard") {
+			g.State = policy.Live
+		}
 		listed := g.State
 		if listed == policy.Live && (r.maint[g.ID] || r.returning[g.ID]) {
 			g.State = policy.Draining
--- /dev/null
+++ b/internal/defects/names.go
@@ -0,0 +1,18 @@
+package defects
+
+// Defect says what one breaks, and what should find it.
+type Defect struct{ Name, Breaks, FoundBy string }
+
+// All are the defects, in the places that ask On for them.
+var All = []Defect{
+	{"no-refute", "a member that is suspected or told gone says nothing", "members agree"},
+	{"gone-for-ever", "who was told gone is never taken back", "members agree"},
+	{"no-retry", "those gone are not asked again, nor the join list", "members agree"},
+	{"back-in-time", "an older version of a signal replaces a later one", "no signal goes back"},
+	{"earlier-start", "what an earlier start of a member said counts on", "no signal goes back"},
+	{"old-for-ever", "a view that was old once stays so", "members agree"},
+	{"crash-on-nack", "a message that a slow network brings ends the process", "processes live"},
+	{"loop-waits", "the data's goroutine waits for the members'", "answers in time"},
+	{"task-kept", "a routed task that was given up is not closed", "one task at once"},
+	{"drain-unheard", "draining regions count as ready", "nothing new to draining regions"},
+}
--- /dev/null
+++ b/internal/defects/on.go
@@ -0,0 +1,10 @@
+//go:build defects
+
+package defects
+
+import "os"
+
+var chosen = os.Getenv("OATLOFT_DEFECT")
+
+// On tells whether a defect is built in and chosen, by OATLOFT_DEFECT.
+func On(name string) bool { return chosen == name }
--- a/internal/net/peers.go
+++ b/internal/net/peers.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"oatloft/internal/defects"
 	"oatloft/internal/management"
 	"oatloft/internal/peers"
 )
@@ -54,6 +55,9 @@
 		return
 	}
 	s.told.at = now.Add(s.cfg.Peers.Every)
+	if defects.On("loop-waits") && s.peers.Counts().Gone > 0 {
+		time.Sleep(2500 * time.Millisecond)
+	}
 	if s.told.regions == nil {
 		s.told.regions = map[string]time.Duration{}
 	}
--- a/internal/net/server.go
+++ b/internal/net/server.go
@@ -117,7 +117,7 @@
 		s.door.shared = s.inherit != nil
 	}
 	if cfg.Peers != nil {
-		if s.peers, err = peers.Start(cfg.Peers.Config, cfg.Peers.Listen, log); err != nil {
+		if s.peers, err = peers.Start(cfg.Peers.Config, cfg.Peers.Listen, s.inherit != nil, log); err != nil {
 			return nil, err
 		}
 	}
--- a/internal/peers/host.go
+++ b/internal/peers/host.go
@@ -1,12 +1,14 @@
 package peers
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -20,6 +22,7 @@
 	perSecond  = 100 // datagrams taken from one address: three times what a member's probes, news and answers come to ...
 	atOnce     = 300 // ... and of the answer to a Sync, which comes at once
 	sources    = 4096
+	openAgain  = 50 * time.Millisecond
 )
 
 // Host gives a Machine its socket, clock and goroutine.
@@ -28,7 +31,7 @@
 	Dropped struct{ Flooding, Full, Unsent, Signals atomic.Int64 }
 
 	cfg   Config
-	conn  *net.UDPConn
+	conn  atomic.Pointer[net.UDPConn]
 	m     *Machine
 	zero  time.Time
 	view  atomic.Pointer[View]
@@ -37,13 +40,16 @@
 	asks  chan func(*Machine)
 	stop  chan struct{}
 	wait  sync.WaitGroup
+	once  sync.Once
 	log   *slog.Logger
 	said  *logs.Limited
 	wrong atomic.Int64
 }
 
-// Start opens the socket and begins. Addr in cfg is where it listens, unless listen names another address.
-func Start(cfg Config, listen string, log *slog.Logger) (*Host, error) {
+// Start opens the socket and begins. Addr in cfg is where it listens, unless listen names another address. Where wait is
+// set and another process has the address, that of the same balancer before an upgrade, it is opened once that has left;
+// the view is old until then.
+func Start(cfg Config, listen string, wait bool, log *slog.Logger) (*Host, error) {
 	m, err := New(cfg)
 	if err != nil {
 		return nil, err
@@ -56,18 +62,47 @@
 		return nil, fmt.Errorf("peers.listen: %q is no IPv4 address and port", listen)
 	}
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at))
-	if err != nil {
+	taken := err != nil && wait && errors.Is(err, syscall.EADDRINUSE)
+	if err != nil && !taken {
 		return nil, fmt.Errorf("peers.listen: %w", err)
 	}
-	h := &Host{cfg: cfg, conn: conn, m: m, zero: time.Now(), in: make(chan Received, waiting), sets: make(chan SetSignal, setWaiting),
+	h := &Host{cfg: cfg, m: m, zero: time.Now(), in: make(chan Received, waiting), sets: make(chan SetSignal, setWaiting),
 		asks: make(chan func(*Machine)), stop: make(chan struct{}), log: log, said: logs.Limit(log, time.Second)}
 	h.view.Store(&View{Self: m.self, Old: true})
+	h.conn.Store(conn)
 	h.wait.Add(2)
-	go h.read()
+	go func() {
+		defer h.wait.Done()
+		if !taken || h.open(at) {
+			h.read()
+		}
+	}()
 	go h.run()
 	return h, nil
 }
 
+// open tries until the address is free, and tells whether it is this process's now.
+func (h *Host) open(at netip.AddrPort) bool {
+	h.log.Info("peers wait for the process before to leave their address", "addr", at.String())
+	for {
+		select {
+		case <-h.stop:
+			return false
+		case <-time.After(openAgain):
+		}
+		if conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(at)); err == nil {
+			h.conn.Store(conn)
+			select {
+			case <-h.stop: // closed before it was there to be closed
+				_ = conn.Close()
+				return false
+			default:
+				return true
+			}
+		}
+	}
+}
+
 func (h *Host) now() time.Duration { return time.Since(h.zero) }
 
 // View is what is known. A view that was not renewed, since this process stood still, is old whatever it says: the
@@ -112,18 +147,20 @@
 
 // Close ends it.
 func (h *Host) Close() {
-	close(h.stop)
-	_ = h.conn.Close()
+	h.once.Do(func() { close(h.stop) })
+	if conn := h.conn.Load(); conn != nil {
+		_ = conn.Close()
+	}
 	h.wait.Wait()
 }
 
 // read takes datagrams as fast as they come, and passes on no more than may be: whoever floods harms itself only.
 func (h *Host) read() {
-	defer h.wait.Done()
+	conn := h.conn.Load()
 	buf := make([]byte, MaxPacket+1) // a longer one is cut by the system, and seen to be too long
 	limits := map[netip.AddrPort]*rate.Limiter{}
 	for {
-		n, from, err := h.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
 			select {
 			case <-h.stop:
@@ -177,6 +214,9 @@
 		case <-tick.C:
 			h.step(Tick{})
 		}
+		if h.conn.Load() == nil {
+			continue // nobody can hear it: the view stays old
+		}
 		if now := h.now(); published < 0 || now-published >= h.cfg.gossipEvery()/2 || h.m.old != h.view.Load().Old {
 			v := h.m.View()
 			h.view.Store(&v)
@@ -212,7 +252,12 @@
 		return
 	}
 	h.m.Counters.BytesOut += int64(len(b))
-	if _, err := h.conn.WriteToUDPAddrPort(b, to); err != nil {
+	conn := h.conn.Load()
+	if conn == nil {
+		h.Dropped.Unsent.Add(1)
+		return
+	}
+	if _, err := conn.WriteToUDPAddrPort(b, to); err != nil {
 		h.Dropped.Unsent.Add(1)
 	}
 }
--- a/internal/peers/machine.go
+++ b/internal/peers/machine.go
@@ -7,6 +7,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"oatloft/internal/defects"
 )
 
 type member struct {
@@ -153,7 +155,7 @@
 
 // goodAgain ends the view's being old: somebody has told all, or there is nobody to tell.
 func (m *Machine) goodAgain() {
-	if m.old {
+	if m.old && !defects.On("old-for-ever") {
 		m.old = false
 		m.do(Aged{})
 	}
@@ -198,6 +200,7 @@
 		switch p := m.probes[seq]; {
 		case !p.indirect && m.now >= p.asked+m.pace(m.cfg.ackWithin()):
 			p.indirect = true
+			m.send(p.target, &Message{Kind: Ping, Seq: seq, Target: p.target}) // the first may just be lost
 			for _, relay := range m.some(via, func(o *member) bool { return o.State == Alive && o.Name != p.target }) {
 				p.relays++
 				m.send(relay, &Message{Kind: PingBy, Seq: seq, Target: p.target})
@@ -221,7 +224,7 @@
 		case o.State == Gone && m.now-o.since > m.cfg.forgetAfter():
 			delete(m.members, name)
 			delete(m.signals, name)
-		case o.State == Gone && m.now >= o.retryAt: // a cut may be over
+		case o.State == Gone && m.now >= o.retryAt && !defects.On("no-retry"): // a cut may be over
 			o.retryAt = m.now + m.cfg.SilentAfter + m.jitter(2*m.cfg.SilentAfter)
 			m.seq++
 			m.send(name, &Message{Kind: Ping, Seq: m.seq, Target: name})
@@ -264,7 +267,7 @@
 		}
 	}
 	for _, addr := range m.cfg.Join {
-		if !there[addr] {
+		if !there[addr] && !(defects.On("no-retry") && len(m.members) > 0) {
 			m.syncSeq++
 			m.sendTo(addr, &Message{Kind: Sync, Seq: m.syncSeq})
 		}
@@ -388,6 +391,9 @@
 			m.slow = max(0, m.slow-1)
 		}
 	case Nack:
+		if defects.On("crash-on-nack") {
+			panic("a nack")
+		}
 		if p := m.probes[g.Seq]; p != nil && p.target == g.Target {
 			p.nacks++
 		}
@@ -452,12 +458,12 @@
 			m.spread(newsKey{r.Name, ""})
 		}
 		return
-	case !r.newer(o.Record):
+	case !r.newer(o.Record) || o.State == Gone && defects.On("gone-for-ever"):
 		return
 	}
 	was := o.Record
 	o.Record = r
-	if r.Generation != was.Generation {
+	if r.Generation != was.Generation && !defects.On("earlier-start") {
 		o.heard = 0
 		m.dropSignals(r.Name, r.Generation)
 	}
@@ -508,7 +514,7 @@
 			m.Counters.Displaced++
 			m.do(Changed{Record: r, Reason: "another process goes by this name"})
 		}
-	case r.newer(m.self):
+	case r.newer(m.self) && !defects.On("no-refute"):
 		m.Counters.Refuted++
 		m.slow = min(mostSlow, m.slow+1)
 		m.restate(m.self.Generation, r.Incarnation+1)
--- a/internal/peers/news.go
+++ b/internal/peers/news.go
@@ -6,6 +6,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"oatloft/internal/defects"
 )
 
 // What travels: news of members and signals ride on every message, those that were sent on least first, and a Sync is
@@ -42,8 +44,11 @@
 	if m.old { // what was held before a standstill is not told on
 		return
 	}
-	// Those sent least come first; of equal ones the latest.
-	slices.SortStableFunc(m.newsBy, func(a, b newsKey) int { return cmp.Compare(m.news[a], m.news[b]) })
+	// News of members come before signals, however many there are: who is suspected has to hear of it, and others of its
+	// answer. Of each, those sent least come first.
+	slices.SortStableFunc(m.newsBy, func(a, b newsKey) int {
+		return cmp.Or(cmp.Compare(min(len(a.key), 1), min(len(b.key), 1)), cmp.Compare(m.news[a], m.news[b]))
+	})
 	most, kept := m.tellTimes(), m.newsBy[:0]
 	full := false
 	for _, k := range m.newsBy {
@@ -200,7 +205,7 @@
 	case r.Key == "" || len(r.Key) > MaxName || len(r.Value) > MaxSignal || r.Version == 0 || r.AgeMS >= r.LifeMS:
 		m.Counters.SignalsDropped++
 		return
-	case o == nil || r.Generation != o.Generation: // of a start that is over, or one not heard of yet: it comes again
+	case o == nil || r.Generation != o.Generation && !defects.On("earlier-start"): // of a start that is over, or one not heard of yet: it comes again
 		m.Counters.SignalsDropped++
 		return
 	}
@@ -214,7 +219,7 @@
 		if r.Version == s.Version && born < s.born {
 			s.born = born // it was older all along
 		}
-		if r.Version <= s.Version {
+		if r.Version <= s.Version && !defects.On("back-in-time") {
 			return
 		}
 	}
--- a/internal/storm/faults.go
+++ b/internal/storm/faults.go
@@ -202,6 +202,19 @@
 	}, toB: "region", begin: weather(regionLinks, func(f Fault) Weather {
 		return Weather{Delay: time.Duration(f.Value * float64(time.Millisecond))}
 	}, false)})
+	register("region-thinks", kind{draw: func(rng *rand.Rand, s *Schedule) Fault {
+		return Fault{B: rng.IntN(s.Regions + 1), Value: 200 + 2500*rng.Float64()} // ms until its answer
+	}, toB: "region", begin: func(w *World, f Fault) func() {
+		set := func(d time.Duration) {
+			for j, r := range w.Regions {
+				if f.B == 0 || f.B == j+1 {
+					r.SetDelay(d)
+				}
+			}
+		}
+		set(time.Duration(f.Value * float64(time.Millisecond)))
+		return func() { set(0) }
+	}})
 	register("region-refuses", kind{draw: toRegion, toB: "region", begin: weather(regionLinks, func(Fault) Weather { return Weather{Refuse: true} }, false)})
 	register("region-cut", kind{draw: toRegion, toB: "region", begin: weather(regionLinks, func(Fault) Weather { return Weather{Cut: true} }, false)})
 	register("region-resets", kind{draw: toRegion, toB: "region", begin: func(w *World, f Fault) func() {
--- a/internal/storm/run.go
+++ b/internal/storm/run.go
@@ -64,20 +64,51 @@
 		w.find("%v after the last fault: %s", r.Settled.Round(10*time.Millisecond), missing)
 	}
 	time.Sleep(200 * time.Millisecond)
+	r.Broken = w.Judge()
+	r.Served = w.Count()
+	r.Members = *members
+	if r.Served == 0 && s.Terminals > 0 {
+		r.Broken = append(r.Broken, "nobody was served: the storm tests nothing")
+	}
+	return r, nil
+}
+
+// Judge ends the terminals' part, and tells what was broken.
+func (w *World) Judge() []string {
 	w.stopOnce.Do(func() { close(w.stop) })
 	w.asking.Wait() // whoever has asked gets an answer
-	r.Broken = w.Found()
+	broken := w.Found()
 	if v := w.Violations(); v != "" {
-		r.Broken = append(r.Broken, v)
+		broken = append(broken, v)
 	}
+	return broken
+}
+
+// Count is how many transactions a region took so far.
+func (w *World) Count() int {
 	w.mu.Lock()
-	r.Served = w.Served
-	w.mu.Unlock()
-	r.Members = *members
-	if r.Served == 0 && s.Terminals > 0 {
-		r.Broken = append(r.Broken, "nobody was served: the storm tests nothing")
+	defer w.mu.Unlock()
+	return w.Served
+}
+
+// Begin starts a fault by hand; what it returns ends it. The fault has to be of a known kind.
+func (w *World) Begin(f Fault) (end func()) { return kinds[f.Kind].begin(w, f) }
+
+// Holds is what each living balancer says of the others, in a few words.
+func (w *World) Holds() (list []string) {
+	for i := range w.Schedule.Balancers {
+		h, ok := w.held(i)
+		if !ok {
+			list = append(list, w.name(i)+" is silent")
+			continue
+		}
+		by := map[string]int{}
+		for _, m := range h.members {
+			by[m["state"]]++
+		}
+		list = append(list, fmt.Sprintf("%s sees %d alive, %d gone%s", w.name(i), by["alive"]+by["leaving"], by["suspect"]+by["gone"], h.flags))
 	}
-	return r, nil
+	return list
 }
 
 // play begins and ends the faults in their order of time.
--- a/internal/storm/schedule.go
+++ b/internal/storm/schedule.go
@@ -124,17 +124,24 @@
 	return s, nil
 }
 
-// Draw makes a schedule from a seed: one to eight faults of any kind, some at once, some after each other.
+// Draw makes a schedule from a seed: one to eight faults, some at once, some after each other. The first is of each kind
+// in turn from seed to seed, and lasts; the others are of any.
 func Draw(seed uint64, balancers int, seconds float64) *Schedule {
 	rng := rand.New(rand.NewPCG(seed, 23))
 	s := &Schedule{Name: fmt.Sprintf("seed-%d", seed), Balancers: balancers, Regions: 4 + rng.IntN(5), Terminals: 4 * balancers, Seconds: seconds}
 	names := Kinds()
-	for range 1 + rng.IntN(8) {
+	for n := range 1 + rng.IntN(8) {
 		name := names[rng.IntN(len(names))]
+		if n == 0 {
+			name = names[seed%uint64(len(names))]
+		}
 		f := kinds[name].draw(rng, s)
 		f.Kind = name
 		at := rng.Float64() * seconds * 0.8
 		long := (0.05 + 0.5*rng.Float64()) * seconds
+		if n == 0 {
+			at, long = 0.3*at, long+0.3*seconds
+		}
 		f.At = Span(time.Duration(at * float64(time.Second)).Round(10 * time.Millisecond))
 		f.For = Span(time.Duration(min(long, seconds-at) * float64(time.Second)).Truncate(10 * time.Millisecond))
 		if f.At+f.For > Span(seconds*float64(time.Second)) {
--- a/internal/storm/world.go
+++ b/internal/storm/world.go
@@ -87,9 +87,10 @@
 	if w.World, err = standin.New(s.Regions); err != nil {
 		return nil, err
 	}
+	opened := w
 	defer func() {
 		if err != nil {
-			w.Close()
+			opened.Close()
 		}
 	}()
 	w.Who = func(from net.Addr) string {
