Let members that all stood still at once hold their views to be good again

Each member waited for one whose own view is not old to tell all, and there was none; the way out was only there for members that know nobody (machine.go, tick). Now a member asks all for silent_after, and then goes by what it heard. Tests: four members in stepped time, and a schedule of its own for processes.

--- a/internal/peers/machine.go
+++ b/internal/peers/machine.go
@@ -189,7 +189,8 @@
 			m.askAll(to)
 		}
 	}
-	if m.old && m.now-m.oldAt > m.cfg.SilentAfter && len(m.some(1, func(o *member) bool { return o.State != Gone })) == 0 {
+	// Where all stood still at once, or nobody is there to be asked, nobody can tell: what was asked since is what there is.
+	if m.old && m.now-m.oldAt > m.cfg.SilentAfter {
 		m.goodAgain()
 	}
 }
--- a/internal/peers/machine_test.go
+++ b/internal/peers/machine_test.go
@@ -342,3 +342,19 @@
 		}
 	})
 }
+
+// All stand still at once, as on a host that was paused: each held its view to be old and waited for one that was not, for
+// ever. Found by a drawn storm.
+func TestAllStandStillAtOnce(t *testing.T) {
+	w := world(t, 4, 7, lan)
+	for i := range 4 {
+		w.Stop(i, true)
+	}
+	w.Run(10 * time.Second)
+	for i := range 4 {
+		w.Stop(i, false)
+	}
+	if took := settle(t, w, 10*silent); took > 2*silent {
+		t.Errorf("after %v", took)
+	}
+}
