--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -33,11 +33,12 @@
 	Sent                    // a terminal sent a numbered line: Text
 	Returned                // a line came back to it: Text
 	Lost                    // a terminal's standing connection was cut without MOVE while its region lived
+	Started                 // a balancer's process began: what an earlier one was told, nobody has told this one
 )
 
 func (k Kind) String() string {
 	return [...]string{"asked", "answered", "unanswered", "left", "routed", "receipt", "routed task ended", "told", "sent",
-		"returned", "lost"}[k]
+		"returned", "lost", "started"}[k]
 }
 
 // Event is one thing seen, at a time that all observers share.
@@ -121,6 +122,14 @@
 		}
 		return
 	}
+	if e.Kind == Started {
+		for of := range c.told {
+			if of[0] == e.By {
+				delete(c.told, of)
+			}
+		}
+		return
+	}
 	t := c.byID[e.ID]
 	if t == nil {
 		t = &transaction{out: map[string]Event{}, receipts: map[string]bool{}}
--- a/internal/rules/rules_test.go
+++ b/internal/rules/rules_test.go
@@ -54,3 +54,28 @@
 		}
 	}
 }
+
+// What one balancer was told binds that one, and only the process that was told it.
+func TestToldBindsTheProcess(t *testing.T) {
+	for name, x := range map[string]struct {
+		more []Event
+		by   string
+		want int
+	}{
+		"the one that was told":     {nil, "b1", 1},
+		"another":                   {nil, "b2", 0},
+		"its next process":          {[]Event{{At: time.Second, Kind: Started, By: "b1"}}, "b1", 0},
+		"another one's next":        {[]Event{{At: time.Second, Kind: Started, By: "b2"}}, "b1", 1},
+		"its next one, told itself": {[]Event{{At: time.Second, Kind: Started, By: "b1"}, {At: time.Second, Kind: Told, Region: "r", Text: "draining", By: "b1"}}, "b1", 1},
+	} {
+		c := New(Limits{Grace: 500 * time.Millisecond})
+		c.Add(Event{Kind: Told, Region: "r", Text: "draining", By: "b1"})
+		for _, e := range x.more {
+			c.Add(e)
+		}
+		c.Add(Event{At: 2 * time.Second, Kind: Routed, ID: "1", Region: "r", By: x.by})
+		if n := len(c.End(2 * time.Second)); n != x.want {
+			t.Errorf("%s: %d violations, want %d", name, n, x.want)
+		}
+	}
+}
--- a/internal/storm/world.go
+++ b/internal/storm/world.go
@@ -242,6 +242,7 @@
 		return
 	default:
 	}
+	w.SawBy(w.name(i), rules.Started, "", "", "")
 	p, err := w.Start(w.launches[i])
 	w.mu.Lock()
 	defer w.mu.Unlock()
