Let the last word on leaving count, however soon it follows the one before

Seen on reading the change again: the loop told its member of standby and active in goroutines of their own, since Leave waited for the member's turn; two calls close to each other could arrive in the other order, and a balancer that serves would be held to be leaving until its next call. At fault: net/peers.go, signal ("go s.peers.Leave"). Now the host keeps the last word, and the member takes it at its next tick; nothing waits. Test: a hundred changes at once end as the last one says (-race).

--- a/internal/net/peers.go
+++ b/internal/net/peers.go
@@ -49,7 +49,7 @@
 	drain := s.core.Leaving() || s.core.Drained()
 	if drain != s.told.drain {
 		s.told.drain = drain
-		go s.peers.Leave(drain) // it waits for the member's turn, which is not the loop's affair
+		s.peers.Leave(drain)
 	}
 	if now.Before(s.told.at) {
 		return
--- a/internal/peers/host.go
+++ b/internal/peers/host.go
@@ -44,6 +44,8 @@
 	log   *slog.Logger
 	said  *logs.Limited
 	wrong atomic.Int64
+
+	leaving atomic.Bool
 }
 
 // Start opens the socket and begins. Addr in cfg is where it listens, unless listen names another address. Where wait is
@@ -124,10 +126,8 @@
 	}
 }
 
-// Leave tells the others that this member leaves, or stays after all.
-func (h *Host) Leave(on bool) {
-	h.ask(func(m *Machine) { h.step(Leave{On: on}) })
-}
+// Leave tells the others that this member leaves, or stays after all. It never waits, and the last word counts.
+func (h *Host) Leave(on bool) { h.leaving.Store(on) }
 
 // Counts are the counters so far; it waits for the goroutine's next turn.
 func (h *Host) Counts() (c Counters) {
@@ -212,6 +212,7 @@
 		case f := <-h.asks:
 			f(h.m)
 		case <-tick.C:
+			h.step(Leave{On: h.leaving.Load()}) // nothing where it is said already
 			h.step(Tick{})
 		}
 		if h.conn.Load() == nil {
--- a/internal/peers/host_test.go
+++ b/internal/peers/host_test.go
@@ -149,3 +149,17 @@
 		return false
 	})
 }
+
+// Who leaves says so, and who stays after all is alive again: the last word counts, however soon it comes.
+func TestLeavingAndStaying(t *testing.T) {
+	a := host(t, "a", "127.8.22.1:7000", "c")
+	b := host(t, "b", "127.8.22.2:7000", "c", "127.8.22.1:7000")
+	eventually(t, "b is not there", func() bool { return sees(a, "b", peers.Alive) })
+	b.Leave(true)
+	eventually(t, "b does not leave", func() bool { return sees(a, "b", peers.Leaving) })
+	for range 100 {
+		b.Leave(true)
+		b.Leave(false)
+	}
+	eventually(t, "b does not stay", func() bool { return sees(a, "b", peers.Alive) })
+}
