--- a/review/cases/drain/main.go
+++ b/review/cases/drain/main.go
@@ -1,4 +1,4 @@
-// Drain is the program of review/1: servers drain and stop, and clients must have been told to move before.
+// Drain is the program of review/2: servers drain and stop, and clients must have been told to move before.
 package main
 
 import (
--- a/review/cases/restart/main.go
+++ b/review/cases/restart/main.go
@@ -1,4 +1,4 @@
-// Restart is the program of review/2: a balancer is told to end while a quarter of the servers hang for 1.5 s.
+// Restart is the program of review/3: a balancer is told to end while a quarter of the servers hang for 1.5 s.
 package main
 
 import (
--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -407,6 +407,21 @@
 	return os.WriteFile(d.Config, body, 0o600)
 }
 
+// HoldListener makes the platform hold the clients' listening socket, which every process inherits as descriptor 3.
+func (d *Deployment) HoldListener() error {
+	l, err := net.Listen("tcp", d.Listen)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = l.Close() }()
+	tcp, ok := l.(*net.TCPListener)
+	if !ok {
+		return errors.New("not a TCP listener")
+	}
+	d.Listener, err = tcp.File()
+	return err
+}
+
 // Process is one process of a balancer.
 type Process struct {
 	Management string
