--- a/review/standin/standin.go
+++ b/review/standin/standin.go
@@ -5,7 +5,6 @@
 import (
 	"bufio"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -256,8 +255,8 @@
 			s.mu.Unlock()
 			_, _ = fmt.Fprintf(conn, "PONG latency_ms=1.5,inflight=%d,x0=%.3f\r\n", n, float64(n)/200)
 		default:
-			request, err := parse(line)
-			if err != nil {
+			request, ok := parse(line)
+			if !ok {
 				s.record.Add("%s received %q, which no client sent", s.ID, line)
 				_, _ = io.WriteString(conn, "SYNTAX\r\n")
 				return
@@ -269,19 +268,18 @@
 	}
 }
 
-var errNotOpen = errors.New("not an OPEN line")
-
-func parse(line string) (Request, error) {
+// parse reads a first line; ok is false if no client sends it in this form.
+func parse(line string) (request Request, ok bool) {
 	words := strings.Split(line, " ")
 	if len(words) != 4 || words[0] != "OPEN" {
-		return Request{}, errNotOpen
+		return Request{}, false
 	}
-	request := Request{ID: words[1], Key: words[2], Fields: map[string]string{}, Line: line}
+	request = Request{ID: words[1], Key: words[2], Fields: map[string]string{}, Line: line}
 	for _, pair := range strings.Split(words[3], ",") {
 		name, value, _ := strings.Cut(pair, "=")
 		request.Fields[name] = value
 	}
-	return request, nil
+	return request, true
 }
 
 // Reset ends a connection with a reset.
@@ -409,16 +407,16 @@
 
 // HoldListener makes the platform hold the clients' listening socket, which every process inherits as descriptor 3.
 func (d *Deployment) HoldListener() error {
-	l, err := net.Listen("tcp", d.Listen)
+	address, err := net.ResolveTCPAddr("tcp", d.Listen)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = l.Close() }()
-	tcp, ok := l.(*net.TCPListener)
-	if !ok {
-		return errors.New("not a TCP listener")
+	l, err := net.ListenTCP("tcp", address)
+	if err != nil {
+		return err
 	}
-	d.Listener, err = tcp.File()
+	defer func() { _ = l.Close() }()
+	d.Listener, err = l.File()
 	return err
 }
 
