A handover migrates all clients before the process exits, whatever the deadlines

Cause: beginShutdown spread the migrations over 0.15 to 1.65 s after SIGTERM, while closeDeadline follows the longest deadline (1.3 s here). What the window had not reached was dropped, and so was, at any deadline, a client that a server accepted after the window's last run. Evidence: the record has all 50 cuts at 1.30 s, when the process exits by itself; on the reducer alone 18, 20, 32, 48 of 60 clients were migrated at deadlines of 50, 100, 400, 800 ms, all from 1.15 s on. Change: the window is derived from the time that the shutdown has, with a part left for lines in progress, and what is left at the end is migrated before Closing. Both follow from fields of shutdownState, so no deadline can separate them again.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -193,7 +193,7 @@
 		r.emit(CloseServer{Client: q.client, Reason: CloseEOF})
 	}
 	r.reportLoad(q, event.Payload)
-	if r.shutdownBreaksConnections() {
+	if r.shutdown.migratesAtOnce() {
 		r.migrate(q, reasonShutdown)
 	}
 }
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -22,28 +22,31 @@
 	answerMargin           = 200 * time.Millisecond // from the last answer to the earliest SIGKILL
 	exitMargin             = 50 * time.Millisecond  // from the process's own exit to the earliest SIGKILL
 	maxShutdownPassThrough = 10 * time.Second       // in pass-through mode, so that more connections survive
+	maxLineEndReserve      = time.Second            // left after paced migrations, for servers to end their lines
 	lastBytesTimeout       = 100 * time.Millisecond // always left for sending the last bytes, even after the limits
 )
 
 // shutdownState is the phase, and the times fixed when the shutdown began. All are zero while serving.
 type shutdownState struct {
-	phase          Phase
-	handedOver     bool          // another process accepts new clients
-	earliestExit   time.Duration // clients may still arrive until then
-	answerDeadline time.Duration // all outstanding answers are sent by then
-	closeDeadline  time.Duration // established connections are abandoned then
-	exitDeadline   time.Duration // the process exits on its own by then
+	phase             Phase
+	handedOver        bool          // another process accepts new clients
+	breaksConnections bool          // established connections end with this process, so their clients are migrated
+	earliestExit      time.Duration // clients may still arrive until then
+	answerDeadline    time.Duration // all outstanding answers are sent by then
+	closeDeadline     time.Duration // the latest time at which established connections are migrated or left to others
+	exitDeadline      time.Duration // the process exits on its own by then
 }
 
 // newShutdown fixes the times of a shutdown that starts now, with the longest client timeout of any class.
 func newShutdown(now, maxClientTimeout time.Duration, handedOver, passThrough bool) shutdownState {
 	killAt := now + min(maxCountedTimeout, maxClientTimeout) + killDelay
 	s := shutdownState{
-		phase:          Draining,
-		handedOver:     handedOver,
-		answerDeadline: killAt - answerMargin,
-		closeDeadline:  killAt - answerMargin,
-		exitDeadline:   killAt - exitMargin,
+		phase:             Draining,
+		handedOver:        handedOver,
+		breaksConnections: handedOver || !passThrough,
+		answerDeadline:    killAt - answerMargin,
+		closeDeadline:     killAt - answerMargin,
+		exitDeadline:      killAt - exitMargin,
 	}
 	s.earliestExit = min(now+minShutdownDuration, s.closeDeadline)
 	if handedOver {
@@ -55,6 +58,14 @@
 	return s
 }
 
+// migrationWindow returns the period over which a handover migrates the clients. It ends well before closeDeadline,
+// whatever the client timeouts are, so that a server has time to end the line that it is sending.
+func (s *shutdownState) migrationWindow() migrationWindow {
+	available := s.closeDeadline - s.earliestExit
+	reserve := min(maxLineEndReserve, available/2)
+	return migrationWindow{from: s.earliestExit, until: s.earliestExit + min(migrationDuration, available-reserve)}
+}
+
 // Phase returns the phase of the balancer's shutdown.
 func (r *Reducer) Phase() Phase { return r.shutdown.phase }
 
@@ -67,20 +78,18 @@
 		return
 	}
 	r.shutdown = newShutdown(r.now, r.config.MaxClientTimeout, event.HandedOver, r.config.PassThrough)
-	if event.HandedOver {
-		from := r.shutdown.earliestExit
-		r.beginMigrations(allServers, migrationWindow{from: from, until: from + migrationDuration})
-	} else if !r.config.PassThrough {
+	switch {
+	case event.HandedOver:
+		r.beginMigrations(allServers, r.shutdown.migrationWindow())
+	case r.shutdown.breaksConnections:
 		r.migrateAll()
 	}
 	r.timers.set(r.shutdown.earliestExit, timer{kind: shutdownTimer})
 }
 
-// shutdownBreaksConnections reports whether the exit of this process will break connections that are established
-// now.
-func (r *Reducer) shutdownBreaksConnections() bool {
-	return r.ShuttingDown() && !r.shutdown.handedOver && !r.config.PassThrough
-}
+// migratesAtOnce reports whether the shutdown migrates each client as soon as its connection is established. After a
+// handover, the paced migrations do it.
+func (s *shutdownState) migratesAtOnce() bool { return s.breaksConnections && !s.handedOver }
 
 // limitTimeout returns the timeout of a request received now, shortened to the answer deadline during a shutdown.
 func (r *Reducer) limitTimeout(timeout time.Duration) time.Duration {
@@ -101,7 +110,7 @@
 
 // advanceShutdown sends the outstanding answers at their deadline, and enters the Closing phase once this process
 // serves no clients. Established connections are served here until closeDeadline, since other balancers may not be
-// ready to take them over.
+// ready to take them over. Clients that are left then are migrated if their connections end with this process.
 func (r *Reducer) advanceShutdown() {
 	if r.requests.unanswered > 0 && r.now >= r.shutdown.answerDeadline {
 		r.answerAll()
@@ -110,6 +119,9 @@
 		r.timers.set(r.now+TickInterval, timer{kind: shutdownTimer})
 		return
 	}
+	if r.shutdown.breaksConnections {
+		r.migrateAll()
+	}
 	r.shutdown.phase = Closing
 	r.emit(Exit{Deadline: r.exitDeadline()})
 	// Idle clients may be sending a request at this moment, so each is sent an answer.
