A migration waits for the end of a server's line as long as the balancer has time

Cause: migrateTimeout of internal/proxy was 1 s for every migration, whatever the balancer had left. The reducer had closed the request by then, so the wait could know no deadline, and lines that the client sent meanwhile were dropped. Evidence: the record has all resets 1.01 s after SIGTERM, when the process exits by itself; with the reducer's clock stopped, clients are reset after 1.0 s in a shutdown, a handover, a drain and a maintenance alike. Change: a waiting migration is a state of the request in the reducer. The connection stays established, data flows both ways, and the limit is derived at each check from the exit of the process, the end of a drain, the server's silence, or 7 s. A client that is reset all the same is logged with its server. Tests: TestMigrationWaitsForHangingServer and TestClientsLinesReachServerDuringMigration failed for all four causes on the code before and pass; five tests of the reducer, five causes at nine deadlines. migration_test.go sets no deadline of the socket code any more, since there is none: it stops the reducer's clock, and checks the same. Pages in docs/incidents are held to the names in the code like all pages.

--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -174,6 +174,7 @@
 	}
 	q.state = established
 	q.traffic.lastLineAt = r.now
+	q.traffic.insideLine = event.InsideLine
 	r.emit(Forward{Client: q.client, Data: event.Data})
 	if q.isNew() {
 		r.decide(policy.AttemptEstablished{
--- a/internal/core/connections.go
+++ b/internal/core/connections.go
@@ -10,12 +10,11 @@
 const (
 	// silenceLimit is the time within which a connection without replies from its server must be closed or migrated.
 	silenceLimit = 7 * time.Second
-	// maxMigrationDelay is the longest time that the host delays a migration to reach the end of the server's current
-	// line.
-	maxMigrationDelay = time.Second
+	// silentLineTimeout is how long the migration from a silent server waits for the end of the server's current line.
+	silentLineTimeout = time.Second
 	// silentAfter is the time without a line from the server after which an established connection is silent,
 	// provided that a line has been unanswered for unansweredAfter.
-	silentAfter = silenceLimit - maxMigrationDelay - 2*checkInterval
+	silentAfter = silenceLimit - silentLineTimeout - 2*checkInterval
 	// unansweredAfter is how long a line must have been unanswered for silentAfter to apply; clients send one every
 	// 2 s.
 	unansweredAfter = 3 * time.Second
@@ -34,6 +33,7 @@
 type traffic struct {
 	unansweredSince time.Duration // when the oldest line without a reply was forwarded; 0 if there is none
 	lastLineAt      time.Duration // when the server sent its last line
+	insideLine      bool          // the server has sent the beginning of a line
 }
 
 // dataReceived forwards bytes at once and measures the server's message delay.
@@ -45,6 +45,7 @@
 	r.emit(Forward{Client: q.client, ToServer: !event.FromServer, Data: event.Data})
 	switch {
 	case event.FromServer:
+		q.traffic.insideLine = event.InsideLine
 		if q.clientHalfClosedAt > 0 { // half-closed, but still active
 			q.clientHalfClosedAt = r.now
 		}
@@ -52,6 +53,7 @@
 			r.serverLineReceived(q)
 		}
 		r.reportLoad(q, event.Payload)
+		r.serverLineEnded(q, event.CloseReason)
 	case event.Lines > 0 && q.traffic.unansweredSince == 0:
 		q.traffic.unansweredSince = r.now
 	}
@@ -152,10 +154,13 @@
 	}
 	delay := r.now - since
 	e := r.endpoints.byID[q.attempt.server]
-	if delay > unansweredAfter && r.now-q.traffic.lastLineAt > silentAfter {
+	silent := delay > unansweredAfter && r.now-q.traffic.lastLineAt > silentAfter
+	switch {
+	case silent && q.migration.silentSince > 0: // its migration waits for the end of a line
+	case silent:
 		r.Counters.MigratedFromSilent++
 		r.migrate(q, reasonUnanswered)
-	} else if delay > r.classes.delayThreshold && e != nil && e.answeredUpTo <= since {
+	case delay > r.classes.delayThreshold && e != nil && e.answeredUpTo <= since:
 		r.reportDelay(q, delay)
 	}
 }
@@ -167,13 +172,6 @@
 	}
 }
 
-// migrate closes a connection with a request to the client to reconnect.
-func (r *Reducer) migrate(q *request, reason string) {
-	r.Counters.Migrated++
-	r.emit(MigrateClient{Client: q.client, Reason: reason})
-	r.connectionClosed(q, policy.ResultCanceled)
-}
-
 // EstablishedFlows returns the server of each established connection, by the connection's key.
 func (r *Reducer) EstablishedFlows() map[string]string {
 	flows := map[string]string{}
--- a/internal/core/effects.go
+++ b/internal/core/effects.go
@@ -63,12 +63,16 @@
 		Client Handle
 		Reason CloseReason
 	}
-	// CloseClient closes the client's side. With CloseEOF, buffered data is flushed first.
+	// CloseClient closes the client's side. With CloseEOF, buffered data is flushed first. With CloseUnfinishedLine, the
+	// connection is reset: the client would read MOVE as part of the line.
 	CloseClient struct {
 		Client Handle
 		Reason CloseReason
 	}
-	// MigrateClient asks the client to reconnect, at a line boundary, and closes both sides.
+	// FinishServerLine prepares the migration of a client to which the server is sending a line. The host no longer
+	// delays the server's data, and delivers it in pieces that end with a line or inside one.
+	FinishServerLine struct{ Client Handle }
+	// MigrateClient asks the client to reconnect and closes both sides. The server is between two lines.
 	MigrateClient struct {
 		Client Handle
 		Reason string // for counting
@@ -87,17 +91,18 @@
 	Exit struct{ Deadline time.Duration }
 )
 
-func (Dial) effect()          {}
-func (SendRequest) effect()   {}
-func (CloseAttempt) effect()  {}
-func (Probe) effect()         {}
-func (ForgetServer) effect()  {}
-func (Answer) effect()        {}
-func (Forward) effect()       {}
-func (PauseReading) effect()  {}
-func (CloseServer) effect()   {}
-func (CloseClient) effect()   {}
-func (MigrateClient) effect() {}
-func (Watch) effect()         {}
-func (StopWatch) effect()     {}
-func (Exit) effect()          {}
+func (Dial) effect()             {}
+func (SendRequest) effect()      {}
+func (CloseAttempt) effect()     {}
+func (Probe) effect()            {}
+func (ForgetServer) effect()     {}
+func (Answer) effect()           {}
+func (Forward) effect()          {}
+func (PauseReading) effect()     {}
+func (CloseServer) effect()      {}
+func (CloseClient) effect()      {}
+func (MigrateClient) effect()    {}
+func (FinishServerLine) effect() {}
+func (Watch) effect()            {}
+func (StopWatch) effect()        {}
+func (Exit) effect()             {}
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -15,15 +15,16 @@
 // CloseReason is why one side of a connection, or an attempt, was closed.
 type CloseReason int
 
-// The close reasons. The last four stand for closing lines sent by a server.
+// The close reasons. Those from CloseRejected to CloseFinished stand for closing lines sent by a server.
 const (
-	CloseEOF      CloseReason = iota // the side closed its sending direction
-	CloseReset                       // the connection was reset
-	CloseRefused                     // the connection could not be established
-	CloseRejected                    // the server rejected the request for lack of capacity
-	CloseFailed                      // the server failed the request
-	CloseMigrated                    // the server asked the client to reconnect elsewhere
-	CloseFinished                    // the connection ended normally
+	CloseEOF            CloseReason = iota // the side closed its sending direction
+	CloseReset                             // the connection was reset
+	CloseRefused                           // the connection could not be established
+	CloseRejected                          // the server rejected the request for lack of capacity
+	CloseFailed                            // the server failed the request
+	CloseMigrated                          // the server asked the client to reconnect elsewhere
+	CloseFinished                          // the connection ended normally
+	CloseUnfinishedLine                    // reset, since the server did not end its line in time for a migration
 )
 
 // Payload is a chunk of a stream. Data is only valid during the step.
@@ -32,7 +33,8 @@
 	Lines       int         // line ends in Data, not counting load notes
 	HasLoad     bool        // Data contains a note of the connection's load
 	Load        float64     // value of the last such note; 0 if it has none
-	CloseReason CloseReason // CloseFinished or CloseMigrated for a closing line in Data, otherwise CloseEOF
+	InsideLine  bool        // Data ends inside a line; only set for data of a server
+	CloseReason CloseReason // CloseFinished or CloseMigrated if Data ends with a closing line, otherwise CloseEOF
 }
 
 // Event is an input from the host to the reducer: one of the types below.
--- a/internal/core/maintenance.go
+++ b/internal/core/maintenance.go
@@ -14,8 +14,16 @@
 	drainDelay = 500 * time.Millisecond
 	// drainDuration is when a drain has migrated all clients, 1 s before the limit of the platform's rules.
 	drainDuration = 3 * time.Second
+	// maxDrainDuration is when a drain has ended all connections, 0.1 s before the limit of the platform's rules.
+	maxDrainDuration = 3900 * time.Millisecond
 )
 
+// drainState is the drain of the balancer at operators' request.
+type drainState struct {
+	requested      bool
+	connectionsEnd time.Duration // established connections have ended by then; 0 if they stay
+}
+
 // maintenanceState holds the servers that operators have put into maintenance.
 type maintenanceState struct {
 	servers   map[string]bool
@@ -31,7 +39,7 @@
 }
 
 // DrainRequested reports whether operators drain the balancer.
-func (r *Reducer) DrainRequested() bool { return r.draining }
+func (r *Reducer) DrainRequested() bool { return r.drain.requested }
 
 // setMaintenance reports a server to the module as draining, or with the state listed by discovery again.
 func (r *Reducer) setMaintenance(event MaintenanceSet) {
@@ -85,11 +93,12 @@
 
 // setDrain begins or ends the drain of the balancer. In pass-through mode, established connections stay.
 func (r *Reducer) setDrain(on bool) {
-	if r.draining == on {
+	if r.drain.requested == on {
 		return
 	}
-	r.draining = on
+	r.drain = drainState{requested: on}
 	if on && !r.config.PassThrough {
+		r.drain.connectionsEnd = r.now + maxDrainDuration
 		r.beginMigrations(allServers, migrationWindow{from: r.now + drainDelay, until: r.now + drainDuration})
 	} else {
 		r.migrations.stop(allServers)
--- a/internal/core/migration.go
+++ b/internal/core/migration.go
@@ -58,13 +58,10 @@
 
 // migrateStep migrates the number of connections required in this step for all to be migrated by the window's end.
 func (r *Reducer) migrateStep(server string, window migrationWindow) {
-	affected := func(q *request) bool {
-		return r.requests.has(q) && q.state == established && (server == allServers || q.attempt.server == server)
-	}
 	all := r.requests.sorted()
 	count := 0
 	for _, q := range all {
-		if affected(q) {
+		if r.needsMigration(q, server) {
 			count++
 		}
 	}
@@ -74,10 +71,19 @@
 		if remaining == 0 {
 			return
 		}
-		if affected(q) {
+		if r.needsMigration(q, server) {
 			r.Counters.MigratedForDrain++
 			r.migrate(q, reasonDrained)
 			remaining--
 		}
 	}
 }
+
+// needsMigration reports whether a connection is established on a server, any one for allServers, and has no pending
+// migration.
+func (r *Reducer) needsMigration(q *request, server string) bool {
+	if !r.requests.has(q) || q.state != established || q.migration.pending() {
+		return false
+	}
+	return server == allServers || q.attempt.server == server
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -28,7 +28,7 @@
 	migrations  pacedMigrations
 	predecessor predecessorFlows
 	shutdown    shutdownState
-	draining    bool // at operators' request
+	drain       drainState
 	lease       policy.LeaseState
 }
 
@@ -222,6 +222,8 @@
 		r.runMigrations()
 	case shutdownTimer:
 		r.advanceShutdown()
+	case lineEndTimer:
+		r.checkPendingMigration(r.requests.established(t.client))
 	}
 }
 
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -33,6 +33,7 @@
 	attempt            attempt
 	mayHaveRunAt       time.Duration // when the first attempt that may have run was sent; 0 for none
 	traffic            traffic
+	migration          pendingMigration
 }
 
 // isNew reports whether the module selects the server: the request's connection was not established before this
--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -24,6 +24,7 @@
 	maxShutdownPassThrough = 10 * time.Second       // in pass-through mode, so that more connections survive
 	maxLineEndReserve      = time.Second            // left after paced migrations, for servers to end their lines
 	lastBytesTimeout       = 100 * time.Millisecond // always left for sending the last bytes, even after the limits
+	lastMoveMargin         = 50 * time.Millisecond  // from the last MOVE to the process's own exit
 )
 
 // shutdownState is the phase, and the times fixed when the shutdown began. All are zero while serving.
@@ -123,7 +124,8 @@
 		r.migrateAll()
 	}
 	r.shutdown.phase = Closing
-	r.emit(Exit{Deadline: r.exitDeadline()})
+	r.shutdown.exitDeadline = r.exitDeadline()
+	r.emit(Exit{Deadline: r.shutdown.exitDeadline})
 	// Idle clients may be sending a request at this moment, so each is sent an answer.
 	r.Counters.IdleClosed += r.closeOldestIdle(r.idle.count(), 0, true)
 }
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -19,13 +19,14 @@
 	watchTimer
 	shutdownTimer
 	migrationTimer
+	lineEndTimer
 )
 
 // timer fires once. Its handler checks whether it still applies.
 type timer struct {
 	tick   int64 // fires at this tick
 	kind   timerKind
-	client Handle // for connectTimer, attemptTimer, deadlineTimer
+	client Handle // for connectTimer, attemptTimer, deadlineTimer, lineEndTimer
 	number int    // attempt number, or of the watch for watchTimer
 	token  string // set by the module, for policyTimer
 }
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -62,22 +62,24 @@
 	switch {
 	case c.finished:
 	case !c.established && !c.requestRead && b.limitFirstBytes(c, len(data)):
-	case c.migration.forwardingRequest:
-		b.forwardRestOfRequest(c, data)
 	case c.established:
-		seen := c.toServer.Read(data)
-		b.counters.LinesIn += int64(seen.Lines)
-		b.step(core.DataReceived{Client: c.handle, Payload: core.Payload{Data: data, Lines: seen.Lines}})
+		b.forwardFromClient(c, data)
 	default:
 		b.readRequest(c, data)
 	}
 }
 
-func (b *Balancer) handleClientEnd(c *client, kind eventKind) {
-	if b.isMigrating(c) {
-		b.clientEndedMigrating(c, kind)
-		return
+// forwardFromClient forwards a client's bytes to its server.
+func (b *Balancer) forwardFromClient(c *client, data []byte) {
+	if c.migration.forwardingRequest {
+		b.countExemptRequest(c, data)
 	}
+	seen := c.toServer.Read(data)
+	b.counters.LinesIn += int64(seen.Lines)
+	b.step(core.DataReceived{Client: c.handle, Payload: core.Payload{Data: data, Lines: seen.Lines}})
+}
+
+func (b *Balancer) handleClientEnd(c *client, kind eventKind) {
 	reason := closeReason(kind)
 	switch {
 	case c.finished:
@@ -147,6 +149,7 @@
 // removeClient removes a client to which nothing more will be sent.
 func (b *Balancer) removeClient(c *client) {
 	delete(b.clients, c.handle)
+	delete(b.migrating, c)
 	if c.conn.ticket != 0 {
 		delete(b.clientsByTicket, c.conn.ticket)
 		b.admission.answered(c.conn.ticket)
@@ -168,8 +171,7 @@
 func (b *Balancer) closeClient(c *client, reason core.CloseReason) {
 	c.finished = true
 	b.removeClient(c)
-	delete(b.migrating, c)
-	if reason == core.CloseReset {
+	if reason == core.CloseReset || reason == core.CloseUnfinishedLine {
 		c.conn.reset()
 	} else {
 		c.conn.fin(true)
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -54,13 +54,15 @@
 	case core.Forward:
 		b.withClient(e.Client, func(c *client) { b.forward(c, e) })
 	case core.PauseReading:
-		b.withClient(e.Client, func(c *client) { c.pauseReading(e.FromServer, e.Paused) })
+		b.withClient(e.Client, func(c *client) { b.pauseReading(c, e) })
 	case core.CloseServer:
 		b.withClient(e.Client, func(c *client) { c.closeServer(e.Reason) })
 	case core.CloseClient:
 		b.withClient(e.Client, func(c *client) { b.closeBoth(c, e.Reason) })
 	case core.MigrateClient:
-		b.withClient(e.Client, b.migrate)
+		b.withClient(e.Client, b.sendMove)
+	case core.FinishServerLine:
+		b.withClient(e.Client, b.finishServerLine)
 	}
 }
 
@@ -120,10 +122,19 @@
 
 // closeBoth closes a client's connection and drops its server's.
 func (b *Balancer) closeBoth(c *client, reason core.CloseReason) {
+	if reason == core.CloseUnfinishedLine {
+		b.logUnfinishedLine(c)
+	}
 	b.closeClient(c, reason)
-	if c.server != nil {
-		c.server.drop()
+	c.dropServer()
+}
+
+// pauseReading pauses or resumes reading of one side. The rest of a line that a migration waits for is always read.
+func (b *Balancer) pauseReading(c *client, e core.PauseReading) {
+	if e.FromServer && e.Paused && b.isMigrating(c) {
+		return
 	}
+	c.pauseReading(e.FromServer, e.Paused)
 }
 
 // forgetServer drops the probe connection of a server that is no longer listed.
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -51,6 +51,7 @@
 	reload      chan Config
 	ended       chan error
 	stepTimeout time.Duration
+	stoppedAt   time.Duration // the reducer's clock, if a test has stopped it
 }
 
 var managementLine = regexp.MustCompile(`(?m)^management$`)
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -127,7 +127,6 @@
 		b.updateNumbered()
 	}
 	b.expireProbes(now)
-	b.expireMigrations(now)
 	used := b.checkMemory(now)
 	b.collectClosed(now)
 	b.closeFinishing(now, b.checkDescriptors(used))
--- a/internal/proxy/migration.go
+++ b/internal/proxy/migration.go
@@ -2,106 +2,40 @@
 
 import (
 	"bytes"
+	"log/slog"
 	"time"
 
 	"oatloft/internal/core"
 	"oatloft/internal/platform"
 )
 
-// migrateTimeout is how long a migration waits for the rest of the server's line.
-const migrateTimeout = time.Second
-
-// migration is a client's state while it waits to be migrated to another server. If the server is in the middle of a
-// line, MOVE is sent after that line. The reducer has closed the request by then, so the end of either connection is
-// handled here.
+// migration is a client's state while its migration waits for the end of the server's line. The flow stays established
+// until then, and the reducer handles its data and its ends as before.
 type migration struct {
-	deadline          time.Time
 	forwardedBytes    int  // bytes of the server's line forwarded since the migration began
 	forwardingRequest bool // the rest of the client's line, delayed by a bounded link, is being forwarded
 }
 
-// migrate sends MOVE to a client, immediately or after the end of the server's line.
-func (b *Balancer) migrate(c *client) {
-	if c.fromServer.BetweenLines() {
-		b.sendMove(c)
-		return
-	}
-	c.migration.deadline = time.Now().Add(migrateTimeout + b.testSlack)
-	b.migrating[c] = struct{}{}
-	if c.server != nil {
-		b.finishServerLine(c)
-	}
-}
-
 // isMigrating reports whether a client's migration waits for the end of the server's line.
 func (b *Balancer) isMigrating(c *client) bool {
 	_, migrating := b.migrating[c]
 	return migrating
 }
 
-// expireMigrations resets clients whose server has stopped inside a line: the client would read MOVE as part of that
-// line.
-func (b *Balancer) expireMigrations(now time.Time) {
-	for c := range b.migrating {
-		if now.After(c.migration.deadline) {
-			b.endMigrating(c, core.CloseReset)
-		}
-	}
-}
-
-// forwardRestOfAnswer forwards the rest of the server's line and sends MOVE after it. If the line is BYE or MOVE of the
-// server itself, nothing is sent after it.
-func (b *Balancer) forwardRestOfAnswer(c *client, data []byte) {
-	end := bytes.IndexByte(data, '\n') + 1
-	if end == 0 {
-		c.fromServer.Read(data)
-		c.conn.write(data)
-		c.migration.forwardedBytes += len(data)
-		if c.migration.forwardedBytes > backpressureBytes { // no valid line is this long; bounds the memory used
-			c.server.pause()
-		}
-		return
-	}
-	seen := c.fromServer.Read(data[:end])
-	c.conn.write(data[:end])
-	if seen.Last != platform.OtherLine {
-		b.endMigrating(c, core.CloseEOF)
-		return
-	}
-	b.sendMove(c)
-}
-
-// endMigrating closes the client without MOVE and drops its server.
-func (b *Balancer) endMigrating(c *client, reason core.CloseReason) {
-	b.closeClient(c, reason)
-	c.dropServer()
-}
-
-// clientEndedMigrating handles the end of a client before MOVE could be sent: the server's connection is closed in the
-// same way. A client that has only closed its sending side still gets the rest of the line and MOVE.
-func (b *Balancer) clientEndedMigrating(c *client, kind eventKind) {
-	if kind != eventReset {
-		c.server.fin(false)
-		return
-	}
-	c.finished = true
-	b.removeClient(c)
-	delete(b.migrating, c)
-	c.server.reset()
-	c.server = nil
-}
-
-// sendMove tells a client to reconnect and closes its connections.
+// sendMove tells a client to reconnect and closes its connections. The server is between two lines.
 func (b *Balancer) sendMove(c *client) {
 	c.conn.write(platform.Move)
 	b.closeClient(c, core.CloseEOF)
 	c.dropServer()
 }
 
-// finishServerLine removes what may delay the rest of the server's line. Reading of a server that was paused for a slow
-// client is resumed here, since the reducer no longer does. If a bounded link has delayed the rest of the client's last
-// line, that rest bypasses the queue, since the server may not answer before it has the whole line.
+// finishServerLine removes what may delay the rest of the server's line. If a bounded link has delayed the rest of the
+// client's last line, that rest bypasses the queue, since the server may not answer before it has the whole line.
 func (b *Balancer) finishServerLine(c *client) {
+	if c.server == nil {
+		return
+	}
+	b.migrating[c] = struct{}{}
 	c.server.resume()
 	if b.zoneLinks == nil {
 		return
@@ -112,21 +46,46 @@
 	}
 }
 
-// forwardRestOfRequest forwards the rest of a line whose beginning the server already has. The bytes count against the
-// link's future budget.
-func (b *Balancer) forwardRestOfRequest(c *client, data []byte) {
-	end := bytes.IndexByte(data, '\n') + 1
-	if end > 0 || c.server == nil || c.server.backlog() > backpressureBytes {
+// firstLine returns the beginning of data up to the end of its first line, or all of it if no line ends in it.
+func firstLine(data []byte) []byte {
+	if end := bytes.IndexByte(data, '\n') + 1; end > 0 {
+		return data[:end]
+	}
+	return data
+}
+
+// limitServerLine stops reading of a server whose line has become longer than any valid one, which bounds the memory
+// used: reading was resumed although the client may be slow.
+func (b *Balancer) limitServerLine(c *client, forwarded int) {
+	c.migration.forwardedBytes += forwarded
+	if c.server != nil && c.migration.forwardedBytes > backpressureBytes {
+		c.server.pause()
+	}
+}
+
+// countExemptRequest counts bytes of a client that bypassed the queue of a bounded link against the link's future
+// budget. The bypass ends with the line, or if the server does not read it.
+func (b *Balancer) countExemptRequest(c *client, data []byte) {
+	if c.server != nil {
+		b.zoneLinks.countSent(c, c.server.server, len(data))
+	}
+	serverReads := c.server != nil && c.server.backlog() <= backpressureBytes
+	if bytes.IndexByte(data, '\n') >= 0 || !serverReads {
 		c.migration.forwardingRequest = false
-		c.conn.pause()
+		c.conn.endExemption()
 	}
-	if end > 0 {
-		data = data[:end]
+	if !serverReads {
+		c.conn.pause()
 	}
-	if c.server == nil {
-		return
+}
+
+// logUnfinishedLine logs that a client is closed without MOVE.
+func (b *Balancer) logUnfinishedLine(c *client) {
+	server := ""
+	if c.server != nil {
+		server = c.server.server
 	}
-	b.counters.BytesToServers += int64(len(data))
-	c.server.write(data)
-	b.zoneLinks.countSent(c, c.server.server, len(data))
+	b.limitedLog.Say(time.Now(), slog.LevelWarn, "unfinished line",
+		"client reset without MOVE, its server did not end a line in time",
+		slog.String("server", server), slog.String("request", c.request.ID))
 }
--- a/internal/proxy/migration_test.go
+++ b/internal/proxy/migration_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"oatloft/internal/core"
 	"oatloft/policy"
 )
 
@@ -28,15 +29,39 @@
 		"b > OPEN 2 k c=chat,d=20000", "task2 < OPEN 2 *", fmt.Sprintf("task1 >> %q", prefix))
 	readExactly(t, p, "a", prefix)
 	p.leave <- struct{}{}
-	var moved *client
+	return p, awaitPendingMigration(t, p)
+}
+
+// awaitPendingMigration waits until the migration of one client is pending, and returns the client. It stops the
+// reducer's clock, so that no deadline passes on a slow machine.
+func awaitPendingMigration(t *testing.T, p *exchange) (migrating *client) {
+	t.Helper()
 	eventually(t, p.balancer, "the migration", func() bool {
-		for x := range p.balancer.migrating {
-			moved = x
-			x.migration.deadline = time.Now().Add(time.Hour)
+		for migrating = range p.balancer.migrating {
+			p.stopReducerClock()
+		}
+		return migrating != nil
+	})
+	return migrating
+}
+
+// stopReducerClock stops the reducer's clock, by setting its start so far ahead that measured times are earlier than
+// the reducer's own, which it ignores. It must run on the loop.
+func (p *exchange) stopReducerClock() {
+	p.stoppedAt = p.balancer.now()
+	p.balancer.cfg.ClockOrigin = time.Now().Add(24 * time.Hour)
+}
+
+// advanceStoppedClock advances the reducer's clock tick by tick and stops it again.
+func (p *exchange) advanceStoppedClock(t *testing.T, d time.Duration) {
+	t.Helper()
+	runOnLoop(t, p.balancer, func() {
+		for end := p.stoppedAt + d; p.stoppedAt < end; p.stoppedAt += core.TickInterval {
+			p.balancer.cfg.ClockOrigin = time.Now().Add(-p.stoppedAt)
+			p.balancer.step(core.Tick{})
 		}
-		return moved != nil
+		p.balancer.cfg.ClockOrigin = time.Now().Add(24 * time.Hour)
 	})
-	return p, moved
 }
 
 // readExactly reads exactly the wanted bytes from a peer.
@@ -153,7 +178,8 @@
 		defer x.server.mu.Unlock()
 		return x.server.paused
 	})
-	runOnLoop(t, p.balancer, func() { x.migration.deadline = time.Now().Add(-time.Second) })
+	runOnLoop(t, p.balancer, func() { p.balancer.testSlack = eventTimeout }) // the loop does not end meanwhile
+	p.advanceStoppedClock(t, 2*time.Second+700*time.Millisecond)             // the client timeout and the time until SIGKILL
 	eventually(t, p.balancer, "the client to be reset", func() bool {
 		return x.finished && len(p.balancer.migrating) == 0
 	})
--- a/internal/proxy/server_connection.go
+++ b/internal/proxy/server_connection.go
@@ -31,18 +31,22 @@
 }
 
 func (b *Balancer) handleServerEnd(c *client, conn *connection, kind eventKind) {
-	if b.isMigrating(c) {
-		b.endMigrating(c, closeReason(kind)) // the rest of the line will not arrive
-		return
-	}
 	reason := closeReason(kind)
-	switch c.lastServerLine {
+	if closing := closingLineReason(c.lastServerLine); closing != core.CloseEOF {
+		reason = closing
+	}
+	b.step(core.AttemptClosed{Client: c.handle, Attempt: conn.attempt, Reason: reason})
+}
+
+// closingLineReason returns the reducer's reason for a server's closing line, and CloseEOF for any other line.
+func closingLineReason(line platform.LineKind) core.CloseReason {
+	switch line {
 	case platform.Bye:
-		reason = core.CloseFinished
+		return core.CloseFinished
 	case platform.MoveLine:
-		reason = core.CloseMigrated
+		return core.CloseMigrated
 	}
-	b.step(core.AttemptClosed{Client: c.handle, Attempt: conn.attempt, Reason: reason})
+	return core.CloseEOF
 }
 
 // readAnswer parses an attempt's answer, which may arrive in pieces. An answer that violates the protocol is a
@@ -85,23 +89,35 @@
 	b.step(core.AttemptAccepted{
 		Client:  c.handle,
 		Attempt: conn.attempt,
-		Payload: core.Payload{Data: data, Lines: seen.Lines, HasLoad: seen.Load, Load: seen.LoadValue},
+		Payload: c.serverPayload(data, seen),
 	})
 }
 
+// serverPayload describes data of the server, which fromServer has scanned last.
+func (c *client) serverPayload(data []byte, seen platform.ScanSummary) core.Payload {
+	return core.Payload{
+		Data:        data,
+		Lines:       seen.Lines,
+		HasLoad:     seen.Load,
+		Load:        seen.LoadValue,
+		InsideLine:  !c.fromServer.BetweenLines(),
+		CloseReason: closingLineReason(seen.Last),
+	}
+}
+
 // forwardFromServer forwards a server's bytes. A client that is to be migrated gets none after the end of the line.
 func (b *Balancer) forwardFromServer(c *client, data []byte) {
-	if b.isMigrating(c) {
-		b.forwardRestOfAnswer(c, data)
-		return
-	}
-	seen := c.fromServer.Read(data)
-	if seen.Lines > 0 {
-		c.lastServerLine = seen.Last
+	for len(data) > 0 && !c.finished {
+		piece := data
+		if b.isMigrating(c) {
+			piece = firstLine(data)
+			b.limitServerLine(c, len(piece))
+		}
+		data = data[len(piece):]
+		seen := c.fromServer.Read(piece)
+		if seen.Lines > 0 {
+			c.lastServerLine = seen.Last
+		}
+		b.step(core.DataReceived{Client: c.handle, FromServer: true, Payload: c.serverPayload(piece, seen)})
 	}
-	b.step(core.DataReceived{
-		Client:     c.handle,
-		FromServer: true,
-		Payload:    core.Payload{Data: data, Lines: seen.Lines, HasLoad: seen.Load, Load: seen.LoadValue},
-	})
 }
--- a/internal/proxy/shaping.go
+++ b/internal/proxy/shaping.go
@@ -118,6 +118,13 @@
 	return true
 }
 
+// endExemption makes an exempt connection wait for turns again.
+func (c *connection) endExemption() {
+	c.mu.Lock()
+	c.exemptFromQueue = false
+	c.mu.Unlock()
+}
+
 // endedData is what was read from a peer that has closed: nbio closes the socket then, so nothing can be left in it.
 // It is at most what the system's buffer held, and is forwarded by the queue's turns, followed by the end.
 type endedData struct {
--- a/internal/testrun/pages_test.go
+++ b/internal/testrun/pages_test.go
@@ -12,7 +12,7 @@
 )
 
 // pageFolders are patterns of the pages' paths, relative to the root of the tree. Each must match at least one page.
-var pageFolders = []string{"README.md", "docs/*.md", "docs/design/*.md", "docs/operators/*.md"}
+var pageFolders = []string{"README.md", "docs/*.md", "docs/design/*.md", "docs/operators/*.md", "docs/incidents/*.md"}
 
 // namesOutsideTree are names that pages quote in backticks although the tree does not contain them, with the reason.
 var namesOutsideTree = map[string]string{
