Simplify pauses, exemptions from a link's queue, and the time of the exit

Change: one pauseReading decides for both sides; beginExemption and endExemption are a pair; the exit's deadline is fixed where it is emitted. No behaviour changes.

--- a/internal/core/shutdown.go
+++ b/internal/core/shutdown.go
@@ -124,19 +124,14 @@
 		r.migrateAll()
 	}
 	r.shutdown.phase = Closing
-	r.shutdown.exitDeadline = r.exitDeadline()
+	// At least lastBytesTimeout is left: in pass-through mode, or if this process was not scheduled in time, SIGKILL may
+	// already be possible at any moment, and exiting faster has no benefit.
+	r.shutdown.exitDeadline = max(r.shutdown.exitDeadline, r.now+lastBytesTimeout)
 	r.emit(Exit{Deadline: r.shutdown.exitDeadline})
 	// Idle clients may be sending a request at this moment, so each is sent an answer.
 	r.Counters.IdleClosed += r.closeOldestIdle(r.idle.count(), 0, true)
 }
 
-// exitDeadline returns when the process exits at the latest. At least lastBytesTimeout is left for the last bytes: in
-// pass-through mode, or if this process was not scheduled in time, SIGKILL may already be possible at any moment, and
-// exiting faster has no benefit.
-func (r *Reducer) exitDeadline() time.Duration {
-	return max(r.shutdown.exitDeadline, r.now+lastBytesTimeout)
-}
-
 // servesNoClients reports whether this process serves no clients any more. If another process has taken over the
 // listener, idle clients count as served too: they would not reconnect on their own.
 func (r *Reducer) servesNoClients() bool {
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -120,21 +120,6 @@
 	}
 }
 
-// pauseReading pauses or resumes reading of the client's or the server's connection.
-func (c *client) pauseReading(ofServer, on bool) {
-	conn := c.conn
-	if ofServer {
-		conn = c.server
-	}
-	switch {
-	case conn == nil:
-	case on:
-		conn.pause()
-	default:
-		conn.resume()
-	}
-}
-
 // closeServer closes the server's connection in the way the client's connection ended.
 func (c *client) closeServer(reason core.CloseReason) {
 	switch {
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -131,10 +131,17 @@
 
 // pauseReading pauses or resumes reading of one side. The rest of a line that a migration waits for is always read.
 func (b *Balancer) pauseReading(c *client, e core.PauseReading) {
-	if e.FromServer && e.Paused && b.isMigrating(c) {
-		return
+	conn := c.conn
+	if e.FromServer {
+		conn = c.server
+	}
+	switch {
+	case conn == nil:
+	case !e.Paused:
+		conn.resume()
+	case !e.FromServer || !b.isMigrating(c):
+		conn.pause()
 	}
-	c.pauseReading(e.FromServer, e.Paused)
 }
 
 // forgetServer drops the probe connection of a server that is no longer listed.
--- a/internal/proxy/migration.go
+++ b/internal/proxy/migration.go
@@ -42,7 +42,7 @@
 	}
 	c.server.setQueue(nil)
 	if !c.toServer.BetweenLines() {
-		c.migration.forwardingRequest = c.conn.exemptFromTurns()
+		c.migration.forwardingRequest = c.conn.beginExemption()
 	}
 }
 
--- a/internal/proxy/shaping.go
+++ b/internal/proxy/shaping.go
@@ -105,9 +105,9 @@
 	return c.role == serverRole && !c.established || c.exemptFromQueue
 }
 
-// exemptFromTurns makes a connection exempt from turns; it is then read in small pieces. It returns false if the
+// beginExemption makes a connection exempt from turns; it is then read in small pieces. It returns false if the
 // connection crosses no bounded link.
-func (c *connection) exemptFromTurns() bool {
+func (c *connection) beginExemption() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.queue == nil {
