--- a/internal/proxy/management.go
+++ b/internal/proxy/management.go
@@ -70,11 +70,11 @@
 		return <-done
 	case <-expired:
 		return refuse(
-			"busy: not started in time, nothing changed",
+			"busy: not taken up in time, nothing changed",
 			"call again; if it persists, check the balancer's CPU usage",
 		)
 	case <-b.loopEnded:
-		return refuse("leaving: this process has stopped serving, nothing changed", "call the successor process")
+		return refuse("leaving: this process has ended its work, nothing changed", "call the successor process")
 	}
 }
 
@@ -119,7 +119,7 @@
 	case b.maintenanceLock <- struct{}{}:
 		defer func() { <-b.maintenanceLock }()
 	case <-expired:
-		return refuse("busy: another maintenance call is in progress, nothing changed", "call again")
+		return refuse("busy: another call is being written, nothing changed", "call again")
 	}
 	var current hotrestart.Maintenance
 	known := false
@@ -160,7 +160,7 @@
 	switch {
 	case b.core.ShuttingDown():
 		return management.No(
-			"leaving: accepts no more clients, %d unanswered, %d standing",
+			"leaving: takes no more clients, %d still owed an answer, %d standing",
 			b.core.Unanswered(),
 			b.establishedFlows(),
 		)
--- a/internal/proxy/peers_call.go
+++ b/internal/proxy/peers_call.go
@@ -36,7 +36,7 @@
 	if next {
 		return management.Yes("-")
 	}
-	return refuse("no member of that name is known", "list the names with oatctl peers")
+	return refuse("nobody of that name is known", "list the names with oatctl peers")
 }
 
 // summarizePeers counts the members by state.
