--- a/cmd/oatlab/admission.go
+++ b/cmd/oatlab/admission.go
@@ -118,7 +118,7 @@
 		{"one opens and says nothing", fake.OpenSilent, 1, false},
 		{"one sends lines without an end", fake.OpenBytes, 1, false},
 		{"one opens and keeps what it gets", fake.OpenKeep, 1, false},
-		{"one asks, takes its answer and ends", fake.OpenAsk, 1, false},
+		{"one asks, takes its answer and ends", fake.OpenRequest, 1, false},
 		{"250 open and say nothing", fake.OpenSilent, 250, true},
 		{"250 open and keep what they get", fake.OpenKeep, 250, true},
 	}
@@ -217,7 +217,7 @@
 		others = append(others, fmt.Sprintf("%d cut", result.Cut))
 	}
 	fmt.Printf("| %d | %s | %s | %d of %d | %.1f ms | %.1f ms | %s | %d, %d, %d | %.0f%% | %d MB | %s |\n",
-		descriptors, state, r.name, result.Served, result.Asked,
+		descriptors, state, r.name, result.Served, result.Requested,
 		float64(result.Quantile(50))/1e6, float64(result.Quantile(99))/1e6, strings.Join(others, ", "),
 		opened, refused, up, 100*cpuShare, peak>>10, rules)
 	if err := p.Over(0); !a.Counters && (err == nil || !strings.Contains(err.Error(), "running")) {
--- a/cmd/oatlab/cost.go
+++ b/cmd/oatlab/cost.go
@@ -98,7 +98,7 @@
 		return x, err
 	}
 	defer t.Close()
-	if a := t.Open(fake.Ask{Key: "cost"}); a.What != "UP" {
+	if a := t.Open(fake.Request{Key: "cost"}); a.What != "UP" {
 		return x, &failedRun{hint.Annotated{What: fmt.Sprintf("request not served: %+v", a), Do: inspectOutput}}
 	}
 	times := make([]time.Duration, 0, c.Lines)
@@ -119,7 +119,7 @@
 		if err != nil {
 			return x, err
 		}
-		a := t.Open(fake.Ask{Key: fmt.Sprint("setup", i)})
+		a := t.Open(fake.Request{Key: fmt.Sprint("setup", i)})
 		t.Close()
 		if a.What != "UP" {
 			return x, &failedRun{hint.Annotated{What: fmt.Sprintf("connection %d not served: %+v", i, a), Do: inspectOutput}}
@@ -151,7 +151,7 @@
 		if err != nil {
 			return 0, err
 		}
-		if a := t.Open(fake.Ask{Key: fmt.Sprint("pour", i)}); a.What != "UP" {
+		if a := t.Open(fake.Request{Key: fmt.Sprint("pour", i)}); a.What != "UP" {
 			return 0, &failedRun{hint.Annotated{What: fmt.Sprintf("bulk client %d not served: %+v", i, a), Do: inspectOutput}}
 		}
 		clientsDone.Go(func() { _ = t.Pour(lineBytes, 0, stop, func(n int) { received.Add(int64(n)) }); t.Break() })
--- a/cmd/oatlab/demo.go
+++ b/cmd/oatlab/demo.go
@@ -126,7 +126,7 @@
 // summary returns the parts of the displayed state: servers, members, clients.
 func (c *demoCommand) summary(w *faultinjection.Scenario) []string {
 	var servers, members []string
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		servers = append(servers, fmt.Sprintf("%s %d", r.Name, r.Open()))
 	}
 	members = append(members, w.MembershipViews()...)
--- a/cmd/oatloft/admission_test.go
+++ b/cmd/oatloft/admission_test.go
@@ -101,14 +101,14 @@
 }
 
 // establish opens and keeps n clients, each from an address and with a key of its own.
-func (r *harness) establish(n int, name string) (list []*fake.Terminal) {
+func (r *harness) establish(n int, name string) (list []*fake.Client) {
 	r.t.Helper()
 	for i := range n {
 		t, err := r.Connect(fmt.Sprintf("127.30.%d.%d", i/8, i%8+1), r.process.Addr)
 		if err != nil {
 			r.t.Fatal(err)
 		}
-		if a := t.Open(fake.Ask{Key: fmt.Sprint(name, i)}); a.What != "UP" {
+		if a := t.Open(fake.Request{Key: fmt.Sprint(name, i)}); a.What != "UP" {
 			r.t.Fatalf("client %d: %+v", i, a)
 		}
 		list = append(list, t)
@@ -116,7 +116,7 @@
 	return list
 }
 
-func (r *harness) echoAll(list []*fake.Terminal) {
+func (r *harness) echoAll(list []*fake.Client) {
 	r.t.Helper()
 	for i, t := range list {
 		if err := t.Echo(3 * time.Second); err != nil {
@@ -137,7 +137,7 @@
 			what := "no connection"
 			if t, err := r.Connect(from(i), r.process.Addr); err == nil {
 				defer t.Break()
-				what = t.Open(fake.Ask{Key: fmt.Sprint(key, i)}).What
+				what = t.Open(fake.Request{Key: fmt.Sprint(key, i)}).What
 			}
 			mu.Lock()
 			by[what]++
@@ -153,7 +153,7 @@
 	if v := r.Violations(); v != "" {
 		r.t.Error(v)
 	}
-	if r.Checker.Count(rules.Asked) == 0 || r.Checker.Count(rules.Routed) == 0 {
+	if r.Checker.Count(rules.RequestSent) == 0 || r.Checker.Count(rules.Routed) == 0 {
 		r.t.Error("the checker recorded no events")
 	}
 }
@@ -161,7 +161,7 @@
 // While one address opens thousands of connections, other clients are served, and every answer is a whole line. One
 // run for each kind of noise.
 func TestFloodFromOneAddress(t *testing.T) {
-	for _, kind := range []fake.Noise{fake.OpenClose, fake.OpenSilent, fake.OpenKeep, fake.OpenAsk, fake.OpenBytes} {
+	for _, kind := range []fake.Noise{fake.OpenClose, fake.OpenSilent, fake.OpenKeep, fake.OpenRequest, fake.OpenBytes} {
 		t.Run(string(kind), func(t *testing.T) {
 			r := newHarness(t, fake.Options{Sockets: 256, MemoryMB: 64}, fake.Launch{Descriptors: 256})
 			flood := r.Flood(kind, 8, func(int) string { return "127.66.0.66" }, r.process.Addr)
@@ -169,7 +169,7 @@
 			g := r.Serve(fake.Customers(100), 50, 300*time.Millisecond, r.process.Addr)
 			flood.Stop()
 			if g.Share() < 0.99 || g.Cut > 0 {
-				t.Errorf("%d of %d served, %v, %d cut", g.Served, g.Asked, g.By, g.Cut)
+				t.Errorf("%d of %d served, %v, %d cut", g.Served, g.Requested, g.By, g.Cut)
 			}
 			// The number that it may have at once: a loop closes no connection that it was granted.
 			if kind == fake.OpenKeep && flood.Got.Load() > 16+8 {
@@ -183,7 +183,7 @@
 // While 250 addresses flood the balancer and 55 % of all known clients reconnect within 0.8 s, the known clients take
 // precedence.
 func TestKnownClientsReconnectDuringFlood(t *testing.T) {
-	r := newHarness(t, fake.Options{Sockets: 512, MemoryMB: 64, Advice: true}, fake.Launch{Descriptors: 512})
+	r := newHarness(t, fake.Options{Sockets: 512, MemoryMB: 64, RetryAfter: true}, fake.Launch{Descriptors: 512})
 	customers := fake.Customers(100)
 	if g := r.Serve(customers, 100, 500*time.Millisecond, r.process.Addr); g.Served != 100 {
 		t.Fatal(g.By)
@@ -242,7 +242,7 @@
 			return false
 		}
 		defer c.Break()
-		return c.Open(fake.Ask{Key: "late"}).What == "UP"
+		return c.Open(fake.Request{Key: "late"}).What == "UP"
 	})
 	r.checkInvariants()
 }
@@ -265,7 +265,7 @@
 // burstAtTheLimit fills the process with silent clients, and has twelve of them send a request at once.
 func burstAtTheLimit(t *testing.T, r *harness) {
 	t.Helper()
-	var silent []*fake.Terminal
+	var silent []*fake.Client
 	defer func() {
 		for _, c := range silent {
 			c.Break()
@@ -286,7 +286,7 @@
 		wait.Add(1)
 		go func() {
 			defer wait.Done()
-			if a := c.Open(fake.Ask{Key: c.ID}); a.What != "UP" && a.What != "BUSY" {
+			if a := c.Open(fake.Request{Key: c.ID}); a.What != "UP" && a.What != "BUSY" {
 				t.Error(a)
 			}
 		}()
@@ -315,7 +315,7 @@
 			t.Fatal(err)
 		}
 		defer c.Close()
-		return c.Open(fake.Ask{Key: "late"}).What
+		return c.Open(fake.Request{Key: "late"}).What
 	}
 	writeConfig(128)
 	reload("msg=reloaded", 1)
@@ -342,11 +342,11 @@
 // After SIGTERM during a flood, every unanswered request is answered, and the program ends.
 func TestShutdownDuringFlood(t *testing.T) {
 	r := newHarness(t, fake.Options{Sockets: 256, MemoryMB: 64}, fake.Launch{Descriptors: 256})
-	for _, server := range r.Regions {
+	for _, server := range r.Servers {
 		server.SetDelay(200 * time.Millisecond) // so that some request is unanswered at any time
 	}
 	flood := r.Flood(
-		fake.OpenAsk, 16, func(i int) string { return fmt.Sprintf("127.66.%d.%d", i%10, i%250/10+1) }, r.process.Addr,
+		fake.OpenRequest, 16, func(i int) string { return fmt.Sprintf("127.66.%d.%d", i%10, i%250/10+1) }, r.process.Addr,
 	)
 	r.waitFor("a flood", func() bool { return flood.Got.Load() > 20 })
 	r.process.Signal(syscall.SIGTERM)
--- a/cmd/oatloft/operations_test.go
+++ b/cmd/oatloft/operations_test.go
@@ -88,12 +88,12 @@
 func (s *service) startMaintenance(server string) {
 	s.t.Helper()
 	s.call("maint-on "+server, "+OK")
-	s.Saw(rules.Told, "", server, "draining")
+	s.Saw(rules.StateReported, "", server, "draining")
 }
 
 func (s *service) endMaintenance(server string) {
 	s.t.Helper()
-	s.Saw(rules.Told, "", server, "ready")
+	s.Saw(rules.StateReported, "", server, "ready")
 	s.call("maint-off "+server, "+OK")
 }
 
@@ -112,7 +112,7 @@
 		s.t.Fatal(err)
 	}
 	defer c.Break()
-	return serverOrAnswer(c.Open(fake.Ask{Key: strings.ReplaceAll(key, " ", "-")}))
+	return serverOrAnswer(c.Open(fake.Request{Key: strings.ReplaceAll(key, " ", "-")}))
 }
 
 func serverOrAnswer(a fake.Answer) string {
@@ -128,14 +128,14 @@
 func TestMaintenance(t *testing.T) {
 	s := newService(t, fake.Options{Sockets: 512, MemoryMB: 64, PassThrough: true})
 	s.call("maint-on nobody", "-ERR nobody was never listed")
-	var established []*fake.Terminal
+	var established []*fake.Client
 	onR1 := 0
 	for i := range 24 {
 		c, err := s.Connect("", s.launch.Addr)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if serverOrAnswer(c.Open(fake.Ask{Key: fmt.Sprint("s", i)})) == "r1" {
+		if serverOrAnswer(c.Open(fake.Request{Key: fmt.Sprint("s", i)})) == "r1" {
 			onR1++
 			established = append(established, c)
 		}
@@ -152,7 +152,7 @@
 	}
 	for _, health := range []string{"draining", "ready", "gone", "ready", "ready"} {
 		s.Discovery.Tell("r1", health)
-		s.Saw(rules.Told, "", "r1", "draining") // maintenance takes precedence over discovery
+		s.Saw(rules.StateReported, "", "r1", "draining") // maintenance takes precedence over discovery
 		for i := range 15 {
 			if got := s.openOnce(fmt.Sprint(health, i)); got == "r1" || !strings.HasPrefix(got, "r") {
 				t.Fatalf("discovery reports %s: %s", health, got)
@@ -183,13 +183,13 @@
 func TestStandby(t *testing.T) {
 	for _, passThrough := range []bool{false, true} {
 		s := newService(t, fake.Options{Sockets: 512, MemoryMB: 64, PassThrough: passThrough})
-		var established []*fake.Terminal
+		var established []*fake.Client
 		for i := range 20 {
 			c, err := s.Connect("", s.launch.Addr)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if a := c.Open(fake.Ask{Key: fmt.Sprint(i)}); a.What != "UP" {
+			if a := c.Open(fake.Request{Key: fmt.Sprint(i)}); a.What != "UP" {
 				t.Fatal(a)
 			}
 			established = append(established, c)
@@ -233,14 +233,14 @@
 	s.startMaintenance("r2")
 	time.Sleep(600 * time.Millisecond)
 	servers := map[string]string{}
-	established := map[string]*fake.Terminal{}
+	established := map[string]*fake.Client{}
 	establish := func(key string) string {
 		c, err := s.Connect("", s.launch.Addr)
 		if err != nil {
 			t.Fatal(err)
 		}
 		established[key] = c
-		return serverOrAnswer(c.Open(fake.Ask{Key: key}))
+		return serverOrAnswer(c.Open(fake.Request{Key: key}))
 	}
 	for i := range 40 {
 		key := fmt.Sprint("k", i)
@@ -259,7 +259,7 @@
 					t.Error("cannot connect:", err)
 					return
 				}
-				if a := c.Open(fake.Ask{Key: fmt.Sprintf("t%d-%d", i, n)}); a.What != "UP" {
+				if a := c.Open(fake.Request{Key: fmt.Sprintf("t%d-%d", i, n)}); a.What != "UP" {
 					t.Error("request during the upgrades:", a)
 				}
 				c.Break()
@@ -281,7 +281,7 @@
 					t.Error("cannot connect:", err)
 					return
 				}
-				if a := c.Open(fake.Ask{Key: fmt.Sprintf("burst%d-%d", round, i)}); a.What != "UP" && a.What != "BUSY" {
+				if a := c.Open(fake.Request{Key: fmt.Sprintf("burst%d-%d", round, i)}); a.What != "UP" && a.What != "BUSY" {
 					t.Error("in the burst:", a)
 				}
 				c.Break()
@@ -307,7 +307,7 @@
 		}
 	}
 	// A file that is damaged or of a later version is reported in one line, and the process starts without it.
-	s.Saw(rules.Told, "", "r2", "ready")
+	s.Saw(rules.StateReported, "", "r2", "ready")
 	for _, name := range []string{"maintenance", "left"} {
 		s.write(filepath.Join(s.dir, "oatloft-n1-"+name+".json"), `{"form":"oatloft","version":9}`)
 	}
@@ -428,7 +428,7 @@
 // timeout, counted from the time of the request, also if no server answers.
 func TestRequestWhileSuspended(t *testing.T) {
 	r := newHarness(t, fake.Options{Sockets: 256, MemoryMB: 64}, fake.Launch{Management: freeAddress(t)})
-	for _, g := range r.Regions {
+	for _, g := range r.Servers {
 		g.Set(fake.Stalled)
 	}
 	r.process.Signal(syscall.SIGSTOP)
@@ -440,7 +440,7 @@
 	time.AfterFunc(1200*time.Millisecond, func() { r.process.Signal(syscall.SIGCONT) })
 	c.After = 4 * time.Second
 	c.Excuse = func(fake.Answer) bool { return true }
-	if a := c.Open(fake.Ask{Key: "k"}); a.What != "ERR" && a.What != "BUSY" {
+	if a := c.Open(fake.Request{Key: "k"}); a.What != "ERR" && a.What != "BUSY" {
 		t.Errorf("%+v", a)
 	}
 	later, err := r.Connect("", r.process.Addr) // its whole timeout is left
@@ -448,7 +448,7 @@
 		t.Fatal(err)
 	}
 	defer later.Break()
-	if a := later.Open(fake.Ask{Key: "k"}); a.Took < time.Second || a.What == "none" {
+	if a := later.Open(fake.Request{Key: "k"}); a.Took < time.Second || a.What == "none" {
 		t.Errorf("later: %+v", a)
 	}
 }
--- a/cmd/oatloft/restart_test.go
+++ b/cmd/oatloft/restart_test.go
@@ -68,7 +68,7 @@
 			last = err.Error()
 			continue
 		}
-		a := c.Open(fake.Ask{Key: "k"})
+		a := c.Open(fake.Request{Key: "k"})
 		c.Close()
 		if last = a.What; last == "UP" {
 			return
@@ -120,7 +120,7 @@
 					waitUntilServing(t, w, l.Addr)
 				} else if c, err := w.Connect("", l.Addr); err != nil {
 					t.Error(err)
-				} else if a := c.Open(fake.Ask{Key: "k"}); a.What == "UP" || a.Line == "" {
+				} else if a := c.Open(fake.Request{Key: "k"}); a.What == "UP" || a.Line == "" {
 					t.Errorf("knows no server, and answers %+v", a)
 				}
 			})
--- a/cmd/oatloft/revisions_test.go
+++ b/cmd/oatloft/revisions_test.go
@@ -221,7 +221,7 @@
 			counts["none"]++
 			continue
 		}
-		counts[serverOrAnswer(client.Open(fake.Ask{Key: fmt.Sprintf("k%d-%d-%d", i, k, time.Now().UnixNano())}))]++
+		counts[serverOrAnswer(client.Open(fake.Request{Key: fmt.Sprintf("k%d-%d-%d", i, k, time.Now().UnixNano())}))]++
 		client.Break()
 	}
 	return counts
@@ -305,14 +305,14 @@
 		c.processes[suspended].Signal(syscall.SIGSTOP)
 		other := (suspended + 1) % 3
 		// Requests to the suspended process wait in its sockets, and are read when it continues.
-		waiting := make([]*fake.Terminal, 5)
+		waiting := make([]*fake.Client, 5)
 		for k := range waiting {
 			client, err := c.Connect("", c.launches[suspended].Addr)
 			if err != nil {
 				t.Fatal(err)
 			}
 			waiting[k] = client
-			_ = client.Say(fake.Ask{Key: fmt.Sprint("w", round, k), Wait: 20 * time.Second}.Line(client.ID))
+			_ = client.Say(fake.Request{Key: fmt.Sprint("w", round, k), Wait: 20 * time.Second}.Line(client.ID))
 		}
 		for end := time.Now().Add(8 * time.Second); ; time.Sleep(100 * time.Millisecond) {
 			c.propose(other, key, from, excluded)
--- a/cmd/oatloft/warmup_test.go
+++ b/cmd/oatloft/warmup_test.go
@@ -40,7 +40,7 @@
 // record compares the requests in the window that ends now with the server's bound: N + 2 x the square root of N + 2,
 // where N is the number that the server can take.
 func (c *receivedRequests) record(e rules.Event) {
-	if e.Kind != rules.Routed || e.Region != "r5" {
+	if e.Kind != rules.Routed || e.Server != "r5" {
 		return
 	}
 	c.mu.Lock()
@@ -74,7 +74,7 @@
 // sendLoad opens a request every 10 ms at a balancer until stop, and keeps the last 20 open. Failures are ignored,
 // because balancers restart meanwhile.
 func sendLoad(w *fake.World, addr, name string, stop <-chan struct{}) {
-	var open []*fake.Terminal
+	var open []*fake.Client
 	for i := 0; ; i++ {
 		select {
 		case <-stop:
@@ -88,7 +88,7 @@
 		if err != nil {
 			continue
 		}
-		if a := c.Open(fake.Ask{Key: fmt.Sprint(name, i)}); a.What != "UP" {
+		if a := c.Open(fake.Request{Key: fmt.Sprint(name, i)}); a.What != "UP" {
 			c.Break()
 			continue
 		}
@@ -110,7 +110,7 @@
 	defer w.Close()
 	received := &receivedRequests{}
 	w.Watch = received.record
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		r.SetWeight(1 / warmCapacity)
 	}
 	var processes []*fake.Process
@@ -137,16 +137,16 @@
 	defer close(stop)
 	warmedUp := func() bool {
 		requests := int64(0)
-		for _, r := range w.Regions[:4] {
+		for _, r := range w.Servers[:4] {
 			requests += r.Took()
 		}
 		return requests >= 150
 	}
 	waitFor(t, "the warm servers take requests", warmedUp)
-	if err := w.AddRegion("r5", "127.9.0.5:0"); err != nil {
+	if err := w.AddServer("r5", "127.9.0.5:0"); err != nil {
 		t.Fatal(err)
 	}
-	joining := w.Regions[4]
+	joining := w.Servers[4]
 	joining.Set(fake.Lying) // it reports no load, so that only its warm-up budget keeps requests away
 	joining.SetWeight(1 / warmCapacity)
 	beginWarmUp := func() {
--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -15,8 +15,8 @@
 	"oatloft/internal/rules"
 )
 
-// Terminal is a connection of a fake client.
-type Terminal struct {
+// Client is a connection of a fake client.
+type Client struct {
 	ID        string
 	By        string // name of the balancer that it is connected to, if there are several
 	w         *World
@@ -32,15 +32,15 @@
 
 var lastID atomic.Int64
 
-// Ask is a client's request.
-type Ask struct {
+// Request is a client's request.
+type Request struct {
 	Key, Class, Tenant string
 	Wait               time.Duration // time to wait for the answer; 2 s if 0
 	More               string        // further fields, such as ",r=1"
 }
 
 // Line returns the first line of the request.
-func (a Ask) Line(id string) string {
+func (a Request) Line(id string) string {
 	if a.Class == "" {
 		a.Class = "chat"
 	}
@@ -54,7 +54,7 @@
 }
 
 // Connect opens a client connection from one address to another.
-func (w *World) Connect(from, to string) (*Terminal, error) {
+func (w *World) Connect(from, to string) (*Client, error) {
 	d := net.Dialer{Timeout: 5 * time.Second}
 	if from != "" {
 		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(from)}
@@ -63,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Terminal{
+	return &Client{
 		ID:   fmt.Sprintf("%x-%x", os.Getpid(), lastID.Add(1)),
 		w:    w,
 		conn: c.(*net.TCPConn),
@@ -81,7 +81,7 @@
 }
 
 // Open sends the first line of a request and waits for the answer.
-func (t *Terminal) Open(a Ask) Answer {
+func (t *Client) Open(a Request) Answer {
 	if a.Wait == 0 {
 		a.Wait = 2 * time.Second
 	}
@@ -90,11 +90,11 @@
 		// The balancer may have refused the connection before the request was sent: its answer can still be read.
 		return t.readAnswer(sentAt, a.Wait)
 	}
-	t.w.SawBy(t.By, rules.Asked, t.ID, "", "")
+	t.w.SawBy(t.By, rules.RequestSent, t.ID, "", "")
 	return t.readAnswer(sentAt, a.Wait)
 }
 
-func (t *Terminal) readAnswer(sentAt time.Time, wait time.Duration) Answer {
+func (t *Client) readAnswer(sentAt time.Time, wait time.Duration) Answer {
 	deadline := sentAt.Add(wait + 50*time.Millisecond) // 50 ms: the Slack of the rules
 	_ = t.conn.SetReadDeadline(deadline)
 	line, err := t.in.ReadString('\n')
@@ -134,10 +134,10 @@
 }
 
 // Listen waits for an answer without sending a request.
-func (t *Terminal) Listen(wait time.Duration) Answer { return t.readAnswer(time.Now(), wait) }
+func (t *Client) Listen(wait time.Duration) Answer { return t.readAnswer(time.Now(), wait) }
 
 // Echo sends a numbered line and waits until it is returned. It returns ErrMoved if it receives MOVE instead.
-func (t *Terminal) Echo(wait time.Duration) error {
+func (t *Client) Echo(wait time.Duration) error {
 	t.linesSent++
 	text := fmt.Sprintf("%s line %d", t.ID, t.linesSent)
 	t.w.Saw(rules.LineSent, t.ID, "", text)
@@ -159,7 +159,7 @@
 // Pour sends lines of size bytes, one per pause or more slowly if the connection accepts them more slowly, until stop
 // is closed or the connection ends. It calls onBytes with the number of bytes returned. The bytes are not reported to
 // the checker: a line consists of the client's own ID, so that foreign, lost or reordered bytes in it are an error.
-func (t *Terminal) Pour(size int, pause time.Duration, stop <-chan struct{}, onBytes func(bytes int)) error {
+func (t *Client) Pour(size int, pause time.Duration, stop <-chan struct{}, onBytes func(bytes int)) error {
 	line := []byte(strings.Repeat(t.ID+".", size/(len(t.ID)+1)+1)[:size-1] + "\n")
 	go func() {
 		for {
@@ -216,7 +216,7 @@
 var ErrChanged error = &UnexpectedError{hint.Annotated{What: "bytes lost, repeated or changed", Do: inspectBalancerLog}}
 
 // Moved waits for MOVE; anything else is an error.
-func (t *Terminal) Moved(wait time.Duration) error {
+func (t *Client) Moved(wait time.Duration) error {
 	_ = t.conn.SetReadDeadline(time.Now().Add(wait))
 	line, err := t.in.ReadString('\n')
 	if err == nil && line != "MOVE\r\n" {
@@ -229,18 +229,18 @@
 var ErrMoved error = &UnexpectedError{hint.Annotated{What: "moved", Do: "connect again"}}
 
 // Say sends text unchanged.
-func (t *Terminal) Say(text string) error {
+func (t *Client) Say(text string) error {
 	_, err := io.WriteString(t.conn, text)
 	return err
 }
 
 // Close closes the connection gracefully.
-func (t *Terminal) Close() { t.disconnect(false) }
+func (t *Client) Close() { t.disconnect(false) }
 
 // Break resets the connection, so that its port is free at once.
-func (t *Terminal) Break() { t.disconnect(true) }
+func (t *Client) Break() { t.disconnect(true) }
 
-func (t *Terminal) disconnect(reset bool) {
+func (t *Client) disconnect(reset bool) {
 	if t.closed {
 		return
 	}
--- a/internal/fake/discovery.go
+++ b/internal/fake/discovery.go
@@ -82,7 +82,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h, ok := d.hosts[server]
-	for _, r := range d.w.Regions {
+	for _, r := range d.w.Servers {
 		if r.Name == server && !ok {
 			h = Host{Host: r.Name, Dial: r.Addr, Class: "m", Share: 1}
 		}
@@ -148,7 +148,7 @@
 		}
 		flusher.Flush()
 		for _, c := range reported {
-			d.w.SawBy(f.balancer, rules.Told, "", c.host.Host, c.host.Health)
+			d.w.SawBy(f.balancer, rules.StateReported, "", c.host.Host, c.host.Health)
 		}
 		from = seq
 		select {
--- a/internal/fake/flood.go
+++ b/internal/fake/flood.go
@@ -15,12 +15,12 @@
 
 // The kinds of noise.
 const (
-	NoNoise    Noise = "none"
-	OpenClose  Noise = "opens and closes"
-	OpenSilent Noise = "opens and says nothing"
-	OpenKeep   Noise = "opens and keeps what it gets"
-	OpenAsk    Noise = "asks, takes its answer and ends"
-	OpenBytes  Noise = "sends lines without an end"
+	NoNoise     Noise = "none"
+	OpenClose   Noise = "opens and closes"
+	OpenSilent  Noise = "opens and says nothing"
+	OpenKeep    Noise = "opens and keeps what it gets"
+	OpenRequest Noise = "asks, takes its answer and ends"
+	OpenBytes   Noise = "sends lines without an end"
 )
 
 // Flood generates one kind of noise until it is stopped.
@@ -43,7 +43,7 @@
 		flood.loops.Add(1)
 		go func() {
 			defer flood.loops.Done()
-			var open []*Terminal
+			var open []*Client
 			defer func() {
 				for _, client := range open {
 					client.Break()
@@ -71,7 +71,7 @@
 }
 
 // connect runs one round, and returns the client if its connection is to stay open.
-func (f *Flood) connect(ctx context.Context, kind Noise, t *Terminal, n int) *Terminal {
+func (f *Flood) connect(ctx context.Context, kind Noise, t *Client, n int) *Client {
 	switch kind {
 	case OpenClose:
 	case OpenSilent:
@@ -87,7 +87,7 @@
 		}
 		f.Refused.Add(1)
 	default:
-		if a := t.Open(Ask{Key: fmt.Sprintf("noise%d", n%50)}); a.What == "UP" {
+		if a := t.Open(Request{Key: fmt.Sprintf("noise%d", n%50)}); a.What == "UP" {
 			f.Got.Add(1)
 			if kind == OpenKeep {
 				return t
@@ -115,15 +115,15 @@
 
 // ServeResult is the result of World.Serve.
 type ServeResult struct {
-	Asked, Served int
-	By            map[string]int // number of clients by the first word of their answer
-	Latency       *hdrhistogram.Histogram
-	Echoes, Moved int
-	Cut           int // established connections that the client did not close itself
+	Requested, Served int
+	By                map[string]int // number of clients by the first word of their answer
+	Latency           *hdrhistogram.Histogram
+	Echoes, Moved     int
+	Cut               int // established connections that the client did not close itself
 }
 
 // Share returns the fraction of the requests that was served.
-func (g ServeResult) Share() float64 { return float64(g.Served) / float64(max(1, g.Asked)) }
+func (g ServeResult) Share() float64 { return float64(g.Served) / float64(max(1, g.Requested)) }
 
 // Quantile returns a quantile (in percent) of the time from the request to UP.
 func (g ServeResult) Quantile(q float64) time.Duration {
@@ -133,7 +133,7 @@
 // GoodClient is a well-behaved client: its address and its request.
 type GoodClient struct {
 	Address string
-	Request Ask
+	Request Request
 }
 
 // Customers returns n well-behaved clients, each with its own address and key.
@@ -141,7 +141,7 @@
 	for i := range n {
 		clients = append(clients, GoodClient{
 			fmt.Sprintf("127.%d.%d.%d", 20+i/200, i%200/10, i%10+1),
-			Ask{Key: fmt.Sprintf("customer%d", i)},
+			Request{Key: fmt.Sprintf("customer%d", i)},
 		})
 	}
 	return clients
@@ -164,7 +164,7 @@
 			t, err := w.Connect(c.Address, addr)
 			if err != nil {
 				mu.Lock()
-				result.Asked++
+				result.Requested++
 				result.By["no connection"]++
 				mu.Unlock()
 				return
@@ -172,7 +172,7 @@
 			defer t.Close()
 			a := t.Open(c.Request)
 			mu.Lock()
-			result.Asked++
+			result.Requested++
 			result.By[a.What]++
 			if a.What == "UP" {
 				result.Served++
--- a/internal/fake/server.go
+++ b/internal/fake/server.go
@@ -28,8 +28,8 @@
 	RefusedProbes       // answers NO to probes
 )
 
-// Region is a fake server.
-type Region struct {
+// Server is a fake server.
+type Server struct {
 	Name, Addr string
 	Zone       string // "here" if ""
 
@@ -51,13 +51,13 @@
 }
 
 // Set sets the server's fault for subsequent requests and probes.
-func (r *Region) Set(f Fault) { r.fault.Store(int32(f)) }
+func (r *Server) Set(f Fault) { r.fault.Store(int32(f)) }
 
 // SetLoad sets the load factor x0 (load over capacity) that the server reports without any connection.
-func (r *Region) SetLoad(x0 float64) { r.load.Store(int64(x0 * 1000)) }
+func (r *Server) SetLoad(x0 float64) { r.load.Store(int64(x0 * 1000)) }
 
 // SetWeight sets the share of the warmed-up server's capacity that a connection takes.
-func (r *Region) SetWeight(x0 float64) { r.weight.Store(int64(x0 * 1000)) }
+func (r *Server) SetWeight(x0 float64) { r.weight.Store(int64(x0 * 1000)) }
 
 // The capacity of a server that is warming up rises from warmUpInitialShare of its full capacity to all of it within
 // warmUpDuration. The server fails if its load exceeds overloadFactor times its current capacity for overloadDuration.
@@ -69,7 +69,7 @@
 	overloadDuration   = 3 * time.Second
 )
 
-func (r *Region) loadFactor(connections int64) float64 {
+func (r *Server) loadFactor(connections int64) float64 {
 	x := float64(r.load.Load()+r.weight.Load()*connections) / 1000
 	if startedAt := r.startedAt.Load(); startedAt > 0 {
 		if age := r.w.Now() - time.Duration(startedAt); age < warmUpDuration {
@@ -80,7 +80,7 @@
 }
 
 // Renew starts the server's warm-up anew. An overload that lasts too long during it is reported to the checker.
-func (r *Region) Renew() {
+func (r *Server) Renew() {
 	r.startedAt.Store(int64(r.w.Now()))
 	r.w.Go(func() {
 		overloaded := time.Duration(0)
@@ -107,22 +107,22 @@
 }
 
 // Pushed returns the highest load factor during the warm-up.
-func (r *Region) Pushed() float64 { return float64(r.peakLoad.Load()) / 1000 }
+func (r *Server) Pushed() float64 { return float64(r.peakLoad.Load()) / 1000 }
 
 // SetDelay sets the delay of the answer UP.
-func (r *Region) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
+func (r *Server) SetDelay(d time.Duration) { r.delay.Store(int64(d)) }
 
 // Open returns the number of served connections that are open.
-func (r *Region) Open() int64 { return r.open.Load() }
+func (r *Server) Open() int64 { return r.open.Load() }
 
 // Took returns the number of requests received.
-func (r *Region) Took() int64 { return r.requests.Load() }
+func (r *Server) Took() int64 { return r.requests.Load() }
 
 // Probes returns the number of probes received.
-func (r *Region) Probes() int64 { return r.probes.Load() }
+func (r *Server) Probes() int64 { return r.probes.Load() }
 
 // Terminate stops the server: its connections are reset and new ones are refused.
-func (r *Region) Terminate() {
+func (r *Server) Terminate() {
 	_ = r.listener.Close()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -135,8 +135,8 @@
 	}
 }
 
-// SendAway sends MOVE to all clients, as a draining server does.
-func (r *Region) SendAway() {
+// MoveClients sends MOVE to all clients, as a draining server does.
+func (r *Server) MoveClients() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for c := range r.conns {
@@ -147,7 +147,7 @@
 	}
 }
 
-func (r *Region) accept() {
+func (r *Server) accept() {
 	for {
 		c, err := r.listener.Accept()
 		if err != nil {
@@ -172,7 +172,7 @@
 }
 
 // serve answers probes until it reads the first line of a request.
-func (r *Region) serve(c net.Conn) {
+func (r *Server) serve(c net.Conn) {
 	in := bufio.NewReaderSize(c, 4096)
 	for {
 		line, err := in.ReadString('\n')
@@ -206,7 +206,7 @@
 	}
 }
 
-func (r *Region) serveRequest(c net.Conn, in *bufio.Reader, line string, f Fault) {
+func (r *Server) serveRequest(c net.Conn, in *bufio.Reader, line string, f Fault) {
 	words := strings.Split(line, " ")
 	if len(words) != 4 {
 		fmt.Fprint(c, "SYNTAX\r\n")
@@ -279,7 +279,7 @@
 	return ""
 }
 
-func (r *Region) zone() string {
+func (r *Server) zone() string {
 	if r.Zone == "" {
 		return defaultZone
 	}
--- a/internal/fake/warm_up_test.go
+++ b/internal/fake/warm_up_test.go
@@ -15,22 +15,22 @@
 		t.Fatal(err)
 	}
 	defer w.Close()
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		r.SetWeight(0.2)
 		r.open.Store(8) // load of 1.6 times its full capacity, 4.7 times its current one
 		r.Renew()
 	}
 	time.Sleep(300 * time.Millisecond)
-	w.Regions[1].open.Store(2)
-	w.Regions[0].open.Store(30)
+	w.Servers[1].open.Store(2)
+	w.Servers[0].open.Store(30)
 	time.Sleep(overloadDuration + 300*time.Millisecond)
 	if n := w.Checker.Count(rules.ServerOverloaded); n != 1 {
 		t.Fatalf("%d servers overloaded, want 1", n)
 	}
-	if v := w.Violations(); !strings.Contains(v, "a cold region pushed over") || !strings.Contains(v, w.Regions[0].Name) {
+	if v := w.Violations(); !strings.Contains(v, "a cold region pushed over") || !strings.Contains(v, w.Servers[0].Name) {
 		t.Error(v)
 	}
-	if p := w.Regions[1].Pushed(); p < 4 || p > 5 {
+	if p := w.Servers[1].Pushed(); p < 4 || p > 5 {
 		t.Errorf("peak load factor %.1f, want 4 to 5", p)
 	}
 }
--- a/internal/fake/world.go
+++ b/internal/fake/world.go
@@ -23,7 +23,7 @@
 // World is the state that the fakes of one run share.
 type World struct {
 	Checker   *rules.Checker
-	Regions   []*Region
+	Servers   []*Server
 	Discovery Discovery
 	// Who returns the name of the balancer that a connection comes from, if several run; "" stands for any of them.
 	Who func(from net.Addr) string
@@ -46,7 +46,7 @@
 		start:   time.Now(),
 	}
 	for i := range servers {
-		if err := w.AddRegion(fmt.Sprintf("r%d", i+1), fmt.Sprintf("127.9.%d.%d:0", i/250, i%250+1)); err != nil {
+		if err := w.AddServer(fmt.Sprintf("r%d", i+1), fmt.Sprintf("127.9.%d.%d:0", i/250, i%250+1)); err != nil {
 			w.Close()
 			return nil, err
 		}
@@ -58,15 +58,15 @@
 	return w, nil
 }
 
-// AddRegion starts another server. Discovery does not list it until Discovery.Tell is called.
-func (w *World) AddRegion(name, addr string) error {
+// AddServer starts another server. Discovery does not list it until Discovery.Tell is called.
+func (w *World) AddServer(name, addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
 		return err
 	}
-	r := &Region{Name: name, Addr: l.Addr().String(), w: w, listener: l, conns: map[net.Conn]bool{}}
+	r := &Server{Name: name, Addr: l.Addr().String(), w: w, listener: l, conns: map[net.Conn]bool{}}
 	r.weight.Store(5)
-	w.Regions = append(w.Regions, r)
+	w.Servers = append(w.Servers, r)
 	w.OnClose(func() { r.Terminate() })
 	w.Go(r.accept)
 	return nil
@@ -82,7 +82,7 @@
 
 // SawBy reports an event that concerns one balancer to the checker.
 func (w *World) SawBy(balancer string, kind rules.Kind, id, server, text string) {
-	e := rules.Event{At: w.Now(), Kind: kind, ID: id, Region: server, Text: text, By: balancer}
+	e := rules.Event{At: w.Now(), Kind: kind, ID: id, Server: server, Text: text, By: balancer}
 	if w.Watch != nil {
 		w.Watch(e)
 	}
@@ -136,7 +136,7 @@
 // Hosts returns all servers as ready.
 func (w *World) Hosts() []Host {
 	var hosts []Host
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		hosts = append(hosts, Host{Host: r.Name, Dial: r.Addr, Site: r.zone(), Class: "m", Health: "ready", Share: 1})
 	}
 	return hosts
@@ -146,7 +146,7 @@
 type Options struct {
 	Sockets, MemoryMB int
 	Attempts          int  // attempts per request; 3 if 0
-	Advice            bool // clients follow the hint in BUSY MS
+	RetryAfter        bool // clients follow the hint in BUSY MS
 	PassThrough       bool // pass-through mode
 	Tenants           map[string]float64
 	Discovery         string            // address of discovery for this balancer; the world's own if ""
@@ -202,7 +202,7 @@
 		"known":  map[string]any{"seq": 0, "whole": true, "hosts": known},
 		"settings": map[string]any{
 			"zone": o.Zone, "balancers": max(1, o.Balancers), "granularity-ms": 5.0, "membership-mode": "on_request",
-			"limits": map[string]any{"max-attempts": o.Attempts, "probes": true, "retry-after": o.Advice,
+			"limits": map[string]any{"max-attempts": o.Attempts, "probes": true, "retry-after": o.RetryAfter,
 				"max-retry-after-ms": 2000.0, "connect-timeout-ms": 250.0},
 			"reporting": map[string]any{"how": "pull", "columns": []string{"lat_ms", "rif", "x0"}},
 			"family-info": map[string]any{"groups": true, "mode": mode, "message-aim-ms": []float64{150},
--- a/internal/faultinjection/changes.go
+++ b/internal/faultinjection/changes.go
@@ -449,7 +449,7 @@
 func arrivalsByBalancer(routed []rules.Event) map[string][]arrival {
 	by := map[string][]arrival{}
 	for _, e := range routed {
-		by[e.By] = append(by[e.By], arrival{e.At, e.Region})
+		by[e.By] = append(by[e.By], arrival{e.At, e.Server})
 	}
 	for _, list := range by {
 		slices.SortStableFunc(list, func(a, b arrival) int { return cmp.Compare(a.at, b.at) })
--- a/internal/faultinjection/content.go
+++ b/internal/faultinjection/content.go
@@ -22,10 +22,10 @@
 func (w *Scenario) content(key string, c Call) *revision.Content {
 	r := &revision.Content{FormatVersion: revision.FormatVersion, Note: key}
 	if c.Out > 0 {
-		r.Servers = []revision.Placement{{ID: w.Regions[(c.Out-1)%len(w.Regions)].Name, Excluded: true}}
+		r.Servers = []revision.Placement{{ID: w.Servers[(c.Out-1)%len(w.Servers)].Name, Excluded: true}}
 	}
-	if n := len(w.Regions); c.Only > 0 {
-		for i, g := range w.Regions {
+	if n := len(w.Servers); c.Only > 0 {
+		for i, g := range w.Servers {
 			if at := (i - c.Only + 1 + n) % n; at >= planServers {
 				r.Servers = append(r.Servers, revision.Placement{ID: g.Name, Excluded: true})
 			}
--- a/internal/faultinjection/cover.go
+++ b/internal/faultinjection/cover.go
@@ -38,7 +38,7 @@
 		}
 	}
 	least, most := n, 0
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		c := at[coordination.ServerHash(r.Name)]
 		least, most = min(least, c), max(most, c)
 	}
--- a/internal/faultinjection/faults.go
+++ b/internal/faultinjection/faults.go
@@ -221,7 +221,7 @@
 		return Fault{B: rng.IntN(s.Servers + 1), Value: 200 + 2500*rng.Float64()} // ms until the server answers
 	}, targetB: "region", begin: func(w *Scenario, f Fault) func() {
 		set := func(d time.Duration) {
-			for j, r := range w.Regions {
+			for j, r := range w.Servers {
 				if f.B == 0 || f.B == j+1 {
 					r.SetDelay(d)
 				}
@@ -249,7 +249,7 @@
 		return Fault{B: 1 + rng.IntN(s.Servers)}
 	}, targetB: "region",
 		begin: func(w *Scenario, f Fault) func() {
-			name := w.Regions[max(0, f.B-1)].Name
+			name := w.Servers[max(0, f.B-1)].Name
 			w.Discovery.Tell(name, "draining")
 			return func() { w.Discovery.Tell(name, "ready") }
 		}})
@@ -257,9 +257,9 @@
 		return Fault{B: 1 + rng.IntN(s.Servers)}
 	}, targetB: "region",
 		begin: func(w *Scenario, f Fault) func() {
-			r := w.Regions[max(0, f.B-1)]
+			r := w.Servers[max(0, f.B-1)]
 			w.Discovery.Tell(r.Name, "gone")
-			r.SendAway()
+			r.MoveClients()
 			return func() {
 				r.Renew()
 				w.Discovery.Renew(r.Name)
--- a/internal/faultinjection/invariants_test.go
+++ b/internal/faultinjection/invariants_test.go
@@ -108,16 +108,16 @@
 		disturbed func(time.Duration) bool
 		want      string
 	}{
-		"fits":                 {rules.Event{At: 500 * ms, Region: "r2", By: "a"}, calm, ""},
-		"left out":             {rules.Event{At: 500 * ms, Region: "r1", By: "a"}, calm, "active revisions exclude"},
-		"under way":            {rules.Event{At: 1200 * ms, Region: "r2", By: "a"}, calm, ""},
-		"by the next revision": {rules.Event{At: 1200 * ms, Region: "r1", By: "a"}, calm, ""},
-		"too late":             {rules.Event{At: 1600 * ms, Region: "r2", By: "a"}, calm, "active revisions exclude"},
-		"over a disturbed link": {rules.Event{At: 1600 * ms, Region: "r2", By: "a"},
+		"fits":                 {rules.Event{At: 500 * ms, Server: "r2", By: "a"}, calm, ""},
+		"left out":             {rules.Event{At: 500 * ms, Server: "r1", By: "a"}, calm, "active revisions exclude"},
+		"under way":            {rules.Event{At: 1200 * ms, Server: "r2", By: "a"}, calm, ""},
+		"by the next revision": {rules.Event{At: 1200 * ms, Server: "r1", By: "a"}, calm, ""},
+		"too late":             {rules.Event{At: 1600 * ms, Server: "r2", By: "a"}, calm, "active revisions exclude"},
+		"over a disturbed link": {rules.Event{At: 1600 * ms, Server: "r2", By: "a"},
 			func(time.Duration) bool { return true }, ""},
-		"after the lease lapsed": {rules.Event{At: 2600 * ms, Region: "r3", By: "a"}, calm,
+		"after the lease lapsed": {rules.Event{At: 2600 * ms, Server: "r3", By: "a"}, calm,
 			"while it had no active revision"},
-		"never at work": {rules.Event{At: 500 * ms, Region: "r3", By: "b"}, calm, "while it had no active revision"},
+		"never at work": {rules.Event{At: 500 * ms, Server: "r3", By: "b"}, calm, "while it had no active revision"},
 	} {
 		checkFound(t, of, checkRouting([]rules.Event{x.e}, works, out, x.disturbed,
 			func(_ string, _, _, over time.Duration) bool { return over < 0 }), x.want)
--- a/internal/faultinjection/links.go
+++ b/internal/faultinjection/links.go
@@ -41,8 +41,8 @@
 // placeServers assigns the servers to zones: most of them to the west, so that requests to balancers in the east have
 // to cross a link.
 func (w *Scenario) placeServers() {
-	for j, r := range w.Regions {
-		if r.Zone = west; j == len(w.Regions)-1 && j > 1 {
+	for j, r := range w.Servers {
+		if r.Zone = west; j == len(w.Servers)-1 && j > 1 {
 			r.Zone = east
 		}
 		w.Discovery.Tell(r.Name, "ready")
@@ -60,7 +60,7 @@
 
 // zoneOf returns the zone of a balancer or server.
 func (w *Scenario) zoneOf(name string) string {
-	for _, r := range w.Regions {
+	for _, r := range w.Servers {
 		if r.Name == name {
 			return r.Zone
 		}
@@ -104,7 +104,7 @@
 		}
 		t.By = w.name(i)
 		t.Excuse, t.After = w.excuse(i, since), lateAnswerWait
-		a := t.Open(fake.Ask{Key: "bulk" + t.ID, Class: "bulk"})
+		a := t.Open(fake.Request{Key: "bulk" + t.ID, Class: "bulk"})
 		if a.What == "UP" {
 			w.sendBulk(t, i, since, strings.TrimPrefix(a.Line, "UP "), rng)
 		}
@@ -112,7 +112,7 @@
 	}
 }
 
-func (w *Scenario) sendBulk(t *fake.Terminal, i int, since time.Duration, receipt string, rng *rand.Rand) {
+func (w *Scenario) sendBulk(t *fake.Client, i int, since time.Duration, receipt string, rng *rand.Rand) {
 	server, _, _ := strings.Cut(receipt, "-")
 	from, to := w.zoneOf(server), w.zone(i)
 	stop, over := make(chan struct{}), make(chan struct{})
--- a/internal/faultinjection/routing.go
+++ b/internal/faultinjection/routing.go
@@ -56,10 +56,10 @@
 			}
 			if k.From-logDelay <= e.At && e.At-maxTransit <= k.To {
 				active += fmt.Sprintf(" %d", k.Number)
-				valid = valid || !isExcluded(summaries[k.Number].excluded, e.Region)
+				valid = valid || !isExcluded(summaries[k.Number].excluded, e.Server)
 			}
 		}
-		if over := e.At - maxTransit - last.To; !valid && last.By != "" && summaries[last.Number].excluded != e.Region &&
+		if over := e.At - maxTransit - last.To; !valid && last.By != "" && summaries[last.Number].excluded != e.Server &&
 			excused(e.By, last.To, e.At, over) {
 			continue
 		}
@@ -67,11 +67,11 @@
 		case valid:
 		case active == "":
 			broken = append(broken, fmt.Sprintf("%s routed a request to %s at %v while it had no active revision: "+
-				"the last one ended %v before, the next one began %v after", e.By, e.Region,
+				"the last one ended %v before, the next one began %v after", e.By, e.Server,
 				e.At.Round(time.Millisecond), (e.At-last.To).Round(time.Millisecond), (next-e.At).Round(time.Millisecond)))
 		default:
 			broken = append(broken, fmt.Sprintf("%s routed a request to %s at %v, which its active revisions exclude:%s",
-				e.By, e.Region, e.At.Round(time.Millisecond), active))
+				e.By, e.Server, e.At.Round(time.Millisecond), active))
 		}
 	}
 	return broken[:min(len(broken), 5)]
--- a/internal/faultinjection/run.go
+++ b/internal/faultinjection/run.go
@@ -144,7 +144,7 @@
 	r.PlanResult = w.planResult
 	r.Served = w.Count()
 	r.Members = *members
-	for _, g := range w.Regions {
+	for _, g := range w.Servers {
 		r.WarmingUpLoad = max(r.WarmingUpLoad, g.Pushed())
 	}
 	if r.Served == 0 && s.Clients > 0 {
--- a/internal/faultinjection/world.go
+++ b/internal/faultinjection/world.go
@@ -157,7 +157,7 @@
 	if o.Plan != nil {
 		included = planServers
 	}
-	for _, r := range w.Regions { // the included servers are half full if every client is connected
+	for _, r := range w.Servers { // the included servers are half full if every client is connected
 		r.SetWeight(min(0.25, 0.5*float64(included)/float64(max(1, s.Clients))))
 	}
 	w.Who = func(from net.Addr) string {
@@ -238,7 +238,7 @@
 	}
 	dial := map[string]string{}
 	w.serverLinks = append(w.serverLinks, nil)
-	for j, r := range w.Regions {
+	for j, r := range w.Servers {
 		at := w.addr(linksOut+i+1, j+1, serverPort)
 		s, err := w.openRelay(at, fmt.Sprintf("127.%d.%d.%d", w.options.Net, linksOut+i+1, sourceByte), r.Addr)
 		if err != nil {
@@ -406,7 +406,7 @@
 		}
 		t.By = w.name(i)
 		t.Excuse, t.After = w.excuse(i, since), lateAnswerWait
-		a := t.Open(fake.Ask{Key: key, More: fmt.Sprintf(",g=group%d", n%7)})
+		a := t.Open(fake.Request{Key: key, More: fmt.Sprintf(",g=group%d", n%7)})
 		w.mu.Lock()
 		w.answers[a.What]++
 		if a.What == "UP" {
@@ -422,7 +422,7 @@
 
 // echoLines exchanges a random number of lines with the server. A connection that a disturbed balancer or link to
 // servers has broken is not a violation; otherwise only MOVE may end a connection.
-func (w *Scenario) echoLines(t *fake.Terminal, i int, since time.Duration, rng *rand.Rand) {
+func (w *Scenario) echoLines(t *fake.Client, i int, since time.Duration, rng *rand.Rand) {
 	for range 1 + rng.IntN(12) {
 		err := t.Echo(9 * time.Second)
 		switch {
--- a/internal/rules/rules.go
+++ b/internal/rules/rules.go
@@ -20,16 +20,16 @@
 // Kind is the kind of an observed event.
 type Kind uint8
 
-// The kinds of events. In an Event, ID is the request's, Region names the server, and Text holds further details.
+// The kinds of events. In an Event, ID is the request's, Server the server's, and Text holds further details.
 const (
-	Asked            Kind = iota // a client has sent the whole first line of a request
+	RequestSent      Kind = iota // a client has sent the whole first line of a request
 	Answered                     // a client received its answer: Text is the line
 	Unanswered                   // the balancer closed a client's connection without an answer
 	ClientClosed                 // a client closed its connection, or stopped waiting
 	Routed                       // a server received the first line of a request
 	Receipt                      // a server answered UP; Text is the receipt
 	RoutedEnded                  // a server closed the connection of an attempt, or saw it closed
-	Told                         // discovery reported a server's state to a balancer: Text is ready, draining or gone
+	StateReported                // discovery reported a server's state to a balancer: Text is ready, draining or gone
 	LineSent                     // a client sent a numbered line: Text
 	Returned                     // a client received a line: Text
 	Lost                         // an established connection was closed without MOVE while its server was running
@@ -47,14 +47,14 @@
 type Event struct {
 	At               time.Duration
 	Kind             Kind
-	ID, Region, Text string
+	ID, Server, Text string
 	By               string // the balancer, if there are several: a state reported to one applies only to that one
 }
 
 // String returns the event as a line of a history.
 func (e Event) String() string {
 	return strings.TrimSpace(
-		fmt.Sprintf("%10.3f ms  %-18v %s %s %s %s", float64(e.At)/1e6, e.Kind, e.ID, e.Region, e.Text, e.By),
+		fmt.Sprintf("%10.3f ms  %-18v %s %s %s %s", float64(e.At)/1e6, e.Kind, e.ID, e.Server, e.Text, e.By),
 	)
 }
 
@@ -127,12 +127,12 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.counts[e.Kind]++
-	if e.Kind == Told {
-		c.serverHistory[e.Region] = append(c.serverHistory[e.Region], e)
-		if _, listed := c.notReady[[2]string{e.By, e.Region}]; e.Text == "ready" {
-			delete(c.notReady, [2]string{e.By, e.Region})
+	if e.Kind == StateReported {
+		c.serverHistory[e.Server] = append(c.serverHistory[e.Server], e)
+		if _, listed := c.notReady[[2]string{e.By, e.Server}]; e.Text == "ready" {
+			delete(c.notReady, [2]string{e.By, e.Server})
 		} else if !listed {
-			c.notReady[[2]string{e.By, e.Region}] = e
+			c.notReady[[2]string{e.By, e.Server}] = e
 		}
 		return
 	}
@@ -157,7 +157,7 @@
 
 func (c *Checker) check(r *request, e Event) {
 	switch e.Kind {
-	case Asked:
+	case RequestSent:
 		r.sent = true
 	case Answered:
 		if r.answers++; r.answers > 1 {
@@ -176,7 +176,7 @@
 	case Receipt:
 		r.receipts[e.Text] = true
 	case Routed:
-		if reported, ok := c.notReady[[2]string{e.By, e.Region}]; ok &&
+		if reported, ok := c.notReady[[2]string{e.By, e.Server}]; ok &&
 			e.At-reported.At > c.limits.Grace+c.limits.Slack {
 			c.report(
 				fmt.Sprintf("something new %v after the region was told %s",
@@ -187,13 +187,13 @@
 			)
 			c.setExcess(e.At - reported.At - c.limits.Grace - c.limits.Slack)
 		}
-		if _, running := r.attempts[e.Region]; running {
+		if _, running := r.attempts[e.Server]; running {
 			c.report("a second routed task out at once", r, e)
 		}
-		r.attempts[e.Region] = e
+		r.attempts[e.Server] = e
 	case RoutedEnded:
-		start, ok := r.attempts[e.Region]
-		delete(r.attempts, e.Region)
+		start, ok := r.attempts[e.Server]
+		delete(r.attempts, e.Server)
 		if !ok {
 			return
 		}
