Tests hold the end of a drain to the platform's 4 s, and late clients to their second

Cause: one test took the end of a drain from the code's own constant, so 4.1 s in place of 3.9 passed; nothing failed without lateLineEndTimeout. Change: the bound is the platform's 4 s after the call; TestClientAcceptedLateInDrainWaitsForLineEnd.

--- a/internal/core/pending_migration_test.go
+++ b/internal/core/pending_migration_test.go
@@ -62,6 +62,7 @@
 func TestMigrationWaitsForLineEnd(t *testing.T) {
 	for _, clientTimeout := range handoverTimeouts {
 		for _, cause := range migrationCauses(clientTimeout) {
+			// The end of a line is waited for until shortly before the limit.
 			longest := min(cause.limit, lineEndTimeout) - 2*lineEndCheckInterval
 			for _, hang := range []time.Duration{0, longest / 3, longest} {
 				t.Run(fmt.Sprint(clientTimeout, cause.name, hang), func(t *testing.T) {
@@ -134,7 +135,8 @@
 	expectEnds(t, b.advance(1700*time.Millisecond), 0, unfinishedLines)
 	b = begin()
 	b.step(DrainSet{On: true})
-	expectEnds(t, b.advance(maxDrainDuration+lineEndCheckInterval), 0, unfinishedLines)
+	// The platform counts a connection as lost that is held 4 s after the call.
+	expectEnds(t, b.advance(4*time.Second-TickInterval), 0, unfinishedLines)
 	b = begin()
 	b.step(DrainSet{On: true})
 	b.advance(time.Second)
@@ -144,3 +146,16 @@
 		expectEnds(t, b.endLine(client, CloseEOF), 1, 0)
 	}
 }
+
+// Guards against clients that are reset at once because they were accepted after the time in which a drain ends the
+// connections: their servers get a second to end the line.
+func TestClientAcceptedLateInDrainWaitsForLineEnd(t *testing.T) {
+	b := newTestbed(t, func(c *Config) { c.PassThrough = false })
+	b.step(DrainSet{On: true})
+	b.advance(10 * time.Second)
+	b.establish(1)
+	effects := b.step(DataReceived{1, true, Payload{Data: []byte("half"), InsideLine: true}})
+	effects = append(effects, b.advance(900*time.Millisecond)...)
+	expectEnds(t, effects, 0, 0)
+	expectEnds(t, b.endLine(1, CloseEOF), 1, 0)
+}
