--- a/review/cases2/descriptors/main.go
+++ b/review/cases2/descriptors/main.go
@@ -1,5 +1,5 @@
-// Command descriptors plays case 7: a fleet with more servers than a balancer may hold descriptors, whose servers forget
-// idle connections. Without the disruption they close them.
+// Command descriptors plays case 7: a fleet with more servers than a balancer may hold descriptors, whose servers
+// forget idle connections. Without the disruption they close them.
 package main
 
 import (
--- a/review/cases2/upgrade/main.go
+++ b/review/cases2/upgrade/main.go
@@ -31,22 +31,24 @@
 	since  time.Time // when discovery had the change
 }
 
+// check checks the rule for one event.
+func (d *draining) check(r *rig.Rig, e rules.Event) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if e.Kind != rules.Routed || e.Server != d.server {
+		return
+	}
+	if late := time.Since(d.since) - toldAfter - grace; late > 0 {
+		r.Break("%s drains since %v and got request %s, %v past the grace", e.Server,
+			time.Since(d.since).Round(time.Millisecond), e.ID, late.Round(time.Millisecond))
+	}
+}
+
 func main() {
 	r := rig.New(4)
 	var d draining
 	record := r.Watch
-	r.Watch = func(e rules.Event) {
-		record(e)
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		if e.Kind != rules.Routed || e.Server != d.server {
-			return
-		}
-		if late := time.Since(d.since) - toldAfter - grace; late > 0 {
-			r.Break("%s drains since %v and got request %s, %v past the grace", e.Server,
-				time.Since(d.since).Round(time.Millisecond), e.ID, late.Round(time.Millisecond))
-		}
-	}
+	r.Watch = func(e rules.Event) { record(e); d.check(r, e) }
 	before, after := r.NewRelay(r.Discovery.Addr), r.NewRelay(r.Discovery.Addr)
 	var callsAfter atomic.Int64
 	after.Accepted = func() { callsAfter.Add(1); r.Note("a call at discovery's new address") }
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -1,6 +1,6 @@
 // Package rig has what the cases of the second review share: it starts the balancer as the deploy file says, writes the
-// record, and plays the platform's side: relays, operators' calls and configurations. Servers, clients and discovery are
-// those of internal/fake.
+// record, and plays the platform's side: relays, configurations, and a discovery and servers for large fleets. Other
+// servers, clients and discoveries are those of internal/fake.
 package rig
 
 import (
