--- a/review/cases2/commands/main.go
+++ b/review/cases2/commands/main.go
@@ -1,4 +1,4 @@
-// Command commands plays case 9: bad clients send commands by hundreds while usual clients ask for connections.
+// Command commands plays bad clients that send commands by hundreds while usual clients ask for connections.
 package main
 
 import (
--- a/review/cases2/descriptors/main.go
+++ b/review/cases2/descriptors/main.go
@@ -1,4 +1,4 @@
-// Command descriptors plays case 7: a fleet with more servers than a balancer may hold descriptors, whose servers
+// Command descriptors plays a fleet with more servers than a balancer may hold descriptors, whose servers
 // forget idle connections. Without the disruption they close them.
 package main
 
--- a/review/cases2/listed/main.go
+++ b/review/cases2/listed/main.go
@@ -1,4 +1,4 @@
-// Command listed plays case 8: maintenance of listed servers in a large fleet, half of which has been replaced.
+// Command listed plays maintenance of listed servers in a large fleet, half of which has been replaced.
 package main
 
 import (
--- a/review/cases2/upgrade/main.go
+++ b/review/cases2/upgrade/main.go
@@ -1,4 +1,4 @@
-// Command upgrade plays case 6: an upgrade after a new configuration has moved discovery. The second process is started
+// Command upgrade plays an upgrade after a new configuration has moved discovery. The second process is started
 // with everything unchanged but its management address.
 package main
 
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,6 +35,7 @@
 	Trouble bool   // the disruption is played; TROUBLE=0 leaves it out
 	Dir     string // temporary folder
 	Sockets int    // the balancer's descriptors
+	Memory  int    // the balancer's memory, in MB
 	Known   []fake.Host
 
 	mu     sync.Mutex
@@ -55,7 +56,7 @@
 		os.Exit(Void)
 	}
 	record, err := os.Create(os.Args[1])
-	r := &Rig{Trouble: Trouble(), Sockets: 1024, record: record, start: time.Now()}
+	r := &Rig{Trouble: Trouble(), Sockets: 1024, Memory: 192, record: record, start: time.Now()}
 	r.Must(err)
 	r.Dir, err = os.MkdirTemp("", "review-")
 	r.Must(err)
@@ -187,6 +188,17 @@
 	return "exit 2"
 }
 
+// PrivateKB returns the process's private resident memory, in KiB.
+func (p *Process) PrivateKB() (n int) {
+	body, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	for line := range strings.SplitSeq(string(body), "\n") {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
+			_, _ = fmt.Sscan(rest, &n)
+		}
+	}
+	return n
+}
+
 // Signal sends a signal to the process.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
@@ -315,7 +327,7 @@
 func (r *Rig) WriteConfig(path, name, listen, discovery string, settings Object) {
 	body, err := json.Marshal(Object{
 		"name": name, "listen": listen, "discovery": discovery, "seed": fmt.Sprintf("%x", rand.Uint64()),
-		"limits":   Object{"cores": 1.0, "memory_mb": 192, "sockets": r.Sockets},
+		"limits":   Object{"cores": 1.0, "memory_mb": r.Memory, "sockets": r.Sockets},
 		"known":    Object{"seq": 0, "whole": true, "hosts": r.Known},
 		"settings": settings,
 	})
--- a/review/rig/server.go
+++ b/review/rig/server.go
@@ -21,6 +21,8 @@
 	IdleTime   time.Duration
 	Forgets    bool
 	Routed     func(id string) // called for each request; must not block
+	Push       <-chan struct{} // once it is closed, the server sends Data on each connection; may be nil
+	Data       []byte
 
 	r        *Rig
 	open     atomic.Int64
@@ -85,6 +87,12 @@
 	s.r.Note("routed %s %s", id, s.Name)
 	s.Routed(id)
 	_, err := fmt.Fprintf(c, "UP %s-%d\r\n", s.Name, n)
+	if s.Push != nil {
+		go func() {
+			<-s.Push
+			_, _ = c.Write(s.Data)
+		}()
+	}
 	for err == nil {
 		var line string
 		if line, err = in.ReadString('\n'); err == nil {
