Turns of the event loop are bounded, and new requests come before bulk data

Cause: the loop handled all events that were queued, in the order of their arrival, before its next tick and before any new request, and then read every connection whose reading was deferred, up to 16 times 8 KiB each, whatever the queue held. The work of a turn thus grew with the number of senders and with the lines in what they send.

Change: events are urgent (new connections, first bytes, servers' answers) or bulk (what a connection sends after its first bytes or after UP, and its end). A turn handles all urgent events and 8 bulk ones, with ticks and operators' calls between any two. Deferred connections are read in turn, 4 reads at most each, and only while fewer than 512 bulk events are queued; clients without a request get 32 reads per tick together beyond their first. While bulk is left, the loop pauses 50 us in each millisecond, so that the runtime polls the network. The PINGs of one read are answered in one write.

Events of one connection stay in order, since a connection never loses the mark bulk and a turn takes its urgent events first (TestEventsOfAConnectionStayInOrder).

Evidence: on the code before, TestRequestsAnsweredDuringFloods failed for commands (9 requests without their answer in time) and lines after UP (15). With the mark disabled, TestRequestIsHandledBeforeBulkData and TestQueuedBytesOfManyConnectionsAreBounded fail (560 pieces queued).

--- a/internal/platform/lines.go
+++ b/internal/platform/lines.go
@@ -94,8 +94,20 @@
 	return true
 }
 
-// IsPing reports whether a line is the health check of the front.
-func IsPing(line []byte) bool { return string(trimLineEnd(line)) == "PING" }
+// isPing reports whether a line is the health check of the front.
+func isPing(line []byte) bool { return string(trimLineEnd(line)) == "PING" }
+
+// SkipPings returns the number of health checks that data begins with, and the data behind them.
+func SkipPings(data []byte) (count int, rest []byte) {
+	for {
+		line, _ := CutLine(data)
+		if !isPing(line) {
+			return count, data
+		}
+		count++
+		data = data[len(line):]
+	}
+}
 
 // ParseOpen parses a client's first line.
 func ParseOpen(line []byte) (Open, error) {
@@ -188,15 +200,29 @@
 	PongLine
 )
 
-// lineKinds maps the first word of a server's line to its kind.
-var lineKinds = map[string]LineKind{
-	"UP": Up, "BYE": Bye, "MOVE": MoveLine, "ERR": Err, "BUSY": Busy, "LOAD": Load, "PONG": PongLine,
-}
-
 // KindOf returns the kind of a server's line, given with or without its end.
 func KindOf(line []byte) LineKind {
-	word, _, _ := bytes.Cut(trimLineEnd(line), []byte(" "))
-	return lineKinds[string(word)]
+	word := trimLineEnd(line)
+	if end := bytes.IndexByte(word, ' '); end >= 0 {
+		word = word[:end]
+	}
+	switch string(word) {
+	case "UP":
+		return Up
+	case "BYE":
+		return Bye
+	case "MOVE":
+		return MoveLine
+	case "ERR":
+		return Err
+	case "BUSY":
+		return Busy
+	case "LOAD":
+		return Load
+	case "PONG":
+		return PongLine
+	}
+	return OtherLine
 }
 
 // AnswerKind returns the kind of a server's answer to a first line or a probe: a whole line, as LineReader returned it.
--- a/internal/proxy/attempt_harness_test.go
+++ b/internal/proxy/attempt_harness_test.go
@@ -284,9 +284,11 @@
 func (h *attemptHarness) queuedEvents(kind eventKind) (n int) {
 	h.balancer.queue.mu.Lock()
 	defer h.balancer.queue.mu.Unlock()
-	for _, e := range h.balancer.queue.list {
-		if e.kind == kind {
-			n++
+	for _, list := range [][]event{h.balancer.queue.urgent, h.balancer.queue.bulk} {
+		for _, e := range list {
+			if e.kind == kind {
+				n++
+			}
 		}
 	}
 	return n
--- a/internal/proxy/connection.go
+++ b/internal/proxy/connection.go
@@ -70,6 +70,7 @@
 	endedData       *endedData      // read when the peer closed, and not yet forwarded
 
 	accepted, written atomic.Int64 // bytes
+	bulk              atomic.Bool  // what it sends and its end are bulk events; never reset
 	queuedEvents      atomic.Int32 // events of kind eventData in the loop's queue
 	wasQueued         atomic.Bool  // the bytes read last had waited in a queue
 	notifyFlushed     atomic.Bool  // post eventFlushed once all accepted bytes are written
@@ -162,3 +163,13 @@
 	c.established = true
 	c.mu.Unlock()
 }
+
+// markBulk makes bulk events of what the connection sends from now on, and of its end.
+func (c *connection) markBulk() {
+	c.mu.Lock()
+	c.bulk.Store(true)
+	c.mu.Unlock()
+}
+
+// readsFirstLine reports whether the connection is a client's without an established flow. The caller holds mu.
+func (c *connection) readsFirstLine() bool { return c.role == clientRole && !c.established }
--- a/internal/proxy/connection_read.go
+++ b/internal/proxy/connection_read.go
@@ -9,7 +9,7 @@
 const (
 	readSize = 8 << 10 // bytes
 	// maxReads is the maximum number of consecutive reads of a connection, and of its data events in the loop's queue.
-	maxReads = 16
+	maxReads = 4
 	// maxFirstReads is that number of reads before the flow is established. It exceeds what any first line needs.
 	maxFirstReads = 1
 	// maxDiscarded is the number of bytes that are discarded while a connection finishes, so that a reset does not
@@ -38,7 +38,7 @@
 		return
 	}
 	limit := maxReads
-	firstLine := c.role == clientRole && !c.established
+	firstLine := c.readsFirstLine()
 	if firstLine {
 		limit = maxFirstReads
 	}
@@ -73,7 +73,8 @@
 // later; what a finishing connection has not discarded stays in the socket until it is closed by force.
 func (c *connection) mustStopReading(reads, limit int) bool {
 	if c.state == live {
-		if (reads >= limit || c.queuedEvents.Load() >= maxReads) && !peerHasClosed(c.conn) {
+		mustWait := reads >= limit || c.queuedEvents.Load() >= maxReads || c.balancer.queue.isLongFor(c)
+		if mustWait && !peerHasClosed(c.conn) {
 			c.balancer.queue.deferRead(c)
 			return true
 		}
@@ -82,9 +83,13 @@
 	return c.discarded > maxDiscarded && !c.shutDown && !peerHasClosed(c.conn)
 }
 
+// postData posts received bytes. What a client sends beyond its first bytes is bulk. The caller holds mu.
 func (c *connection) postData(buf *[]byte) {
 	c.queuedEvents.Add(1)
 	c.balancer.queue.post(event{kind: eventData, conn: c, data: buf})
+	if c.role == clientRole {
+		c.bulk.Store(true)
+	}
 }
 
 // readEnd ends the connection on the poller's goroutine; err is nil for EOF. A client that has only closed its sending
@@ -121,12 +126,14 @@
 	c.continueReading()
 }
 
-// resumeDeferred continues reading after the loop has handled its queue.
-func (c *connection) resumeDeferred() {
+// resumeDeferred continues reading after the loop has handled its queue. It reports whether bytes were read.
+func (c *connection) resumeDeferred() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.readDeferred = false
+	before := c.queuedEvents.Load()
 	c.continueReading()
+	return c.queuedEvents.Load() > before
 }
 
 // continueReading continues reading unless the connection is paused, deferred or queued. The caller holds mu.
--- a/internal/proxy/engine.go
+++ b/internal/proxy/engine.go
@@ -77,7 +77,7 @@
 		return c.discarded <= maxDiscarded || c.shutDown
 	case c.paused || c.readDeferred || c.waitingQueue != nil:
 		return false
-	case c.balancer.queue.isLong():
+	case c.balancer.queue.isLongFor(c):
 		c.balancer.queue.deferRead(c)
 		return false
 	}
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -396,7 +396,7 @@
 	_, _ = c.Write(make([]byte, 64<<20))
 	b.queue.mu.Lock()
 	defer b.queue.mu.Unlock()
-	if n := len(b.queue.list); n > 2*maxReads {
+	if n := len(b.queue.urgent) + len(b.queue.bulk); n > 2*maxReads {
 		t.Fatal(n, "events are queued")
 	}
 }
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -15,24 +15,33 @@
 	stallThreshold = 50 * time.Millisecond
 	// backlogTime is the time after a stall within which what arrived meanwhile is expected to have been read.
 	backlogTime = time.Second
+	// maxBusyTime is how long the loop handles bulk events before it lets other goroutines run for pauseTime.
+	maxBusyTime = time.Millisecond
+	pauseTime   = 50 * time.Microsecond
 )
 
 // loopState holds the loop's timers.
 type loopState struct {
 	nextOtherProcessReadAt time.Time
 	nextMemoryCheckAt      time.Time
+	ticks                  <-chan time.Time // nil unless the loop is running
+	lastPauseAt            time.Time
+	pauseTimer             *systemTimer
+	pacedReads             pacedReads
 }
 
 // runLoop runs the event loop until the balancer may exit or ctx ends.
 func (b *Balancer) runLoop(ctx context.Context, leave, report <-chan struct{}, reload <-chan Config) error {
-	tick := time.NewTicker(core.TickInterval)
-	defer tick.Stop()
+	ticker := time.NewTicker(core.TickInterval)
+	defer ticker.Stop()
+	b.loop.ticks = ticker.C
+	b.loop.pauseTimer = newSystemTimer()
+	defer b.loop.pauseTimer.close()
 	for !b.mayExit(time.Now()) {
 		select {
 		case <-b.queue.wake:
-		case <-tick.C:
-			b.step(core.Tick{})
-			b.handleTick(time.Now())
+		case <-b.loop.ticks:
+			b.tick()
 		case call := <-b.calls:
 			call()
 		case <-leave:
@@ -47,10 +56,31 @@
 		}
 		b.detectStall(time.Now())
 		b.handleEvents()
+		b.pauseIfBusy(time.Now())
 	}
 	return nil
 }
 
+// pauseIfBusy lets the other goroutines run while bulk events are left, and wakes the loop for these. With one
+// processor, the runtime polls the network only when all goroutines wait: without the pause, dials would take until the
+// runtime preempts the loop.
+func (b *Balancer) pauseIfBusy(now time.Time) {
+	if !b.queue.hasBulk() {
+		b.loop.lastPauseAt = now
+		return
+	}
+	b.queue.signal()
+	if now.Sub(b.loop.lastPauseAt) >= maxBusyTime {
+		b.loop.pauseTimer.sleep(pauseTime)
+		b.loop.lastPauseAt = time.Now()
+	}
+}
+
+func (b *Balancer) tick() {
+	b.step(core.Tick{})
+	b.handleTick(time.Now())
+}
+
 // detectStall detects that the process was stalled, for example because it got no processor time.
 func (b *Balancer) detectStall(now time.Time) {
 	if !b.lastIterationAt.IsZero() && now.Sub(b.lastIterationAt) > stallThreshold {
@@ -59,24 +89,37 @@
 	b.lastIterationAt = now
 }
 
-// handleEvents handles the events posted so far. Later events wake the loop again, so that a flood of events cannot
-// delay the ticker. Management calls are run between events, so that they do not queue behind data.
+// handleEvents handles one turn's events, and reads the connections whose reading was deferred. Ticks and management
+// calls are run between events, so that they do not queue behind data.
 func (b *Balancer) handleEvents() {
-	batch, deferred := b.queue.take(b.batch)
-	b.batch = batch
-	for i, e := range batch {
+	b.batch = b.queue.takeEvents(b.batch[:0])
+	for i, e := range b.batch {
 		select {
 		case call := <-b.calls:
 			call()
+		case <-b.loop.ticks:
+			b.tick()
 		default:
 		}
 		b.handleEvent(e)
-		batch[i] = event{}
+		b.batch[i] = event{}
 	}
-	for _, conn := range deferred {
+	b.resumeReading(time.Now())
+	b.closeVictims()
+}
+
+// resumeReading reads the connections that wait for it, each at most once, since one that still has to wait is added
+// again.
+func (b *Balancer) resumeReading(now time.Time) {
+	deferred, paced := b.queue.countWaiting()
+	for range deferred {
+		conn := b.queue.nextDeferred()
+		if conn == nil {
+			break
+		}
 		conn.resumeDeferred()
 	}
-	b.closeVictims()
+	b.loop.pacedReads.resume(&b.queue, paced, now)
 }
 
 func (b *Balancer) handleEvent(e event) {
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bytes"
 	"log/slog"
 	"time"
 
@@ -19,36 +20,41 @@
 		c.partialLine = append(c.partialLine, data...)
 		data = c.partialLine
 	}
-	for len(data) > 0 {
-		line, tooLong := platform.CutLine(data)
-		switch {
-		case tooLong:
-			b.rejectMalformed(c)
-			return
-		case line == nil:
-			c.partialLine = append([]byte(nil), data...)
-			return
-		case platform.IsPing(line):
-			if !b.answerPing(c) {
-				return
-			}
-			data = data[len(line):]
-		default:
-			b.takeRequest(c, line, len(data) > len(line))
-			return
-		}
+	pings, rest := platform.SkipPings(data)
+	if pings > 0 && !b.answerPings(c, pings) {
+		return
+	}
+	line, tooLong := platform.CutLine(rest)
+	switch {
+	case tooLong:
+		b.rejectMalformed(c)
+	case line == nil:
+		c.keepPartialLine(rest)
+	default:
+		b.takeRequest(c, line, len(rest) > len(line))
 	}
-	c.partialLine = nil
 }
 
-// answerPing answers a front end's health check. It reports false if the client does not read the answers.
-func (b *Balancer) answerPing(c *client) bool {
-	b.counters.Pings++
+// keepPartialLine keeps the beginning of a line, which partialLine holds already unless health checks were before it.
+func (c *client) keepPartialLine(data []byte) {
+	if len(c.partialLine) != len(data) {
+		c.partialLine = bytes.Clone(data)
+	}
+}
+
+// answerPings answers health checks of a front end, all in one write: each write is a system call, and a client may
+// send thousands of health checks at once. It reports false if the client does not read the answers.
+func (b *Balancer) answerPings(c *client, count int) bool {
+	b.counters.Pings += int64(count)
+	answer := platform.Pong
 	if b.core.DrainRequested() || !b.mayPlaceClients() {
-		c.conn.write(platform.No)
-	} else {
-		c.conn.write(platform.Pong)
+		answer = platform.No
+	}
+	b.lineBuffer = b.lineBuffer[:0]
+	for range count {
+		b.lineBuffer = append(b.lineBuffer, answer...)
 	}
+	c.conn.write(b.lineBuffer)
 	if c.conn.backlog() > backpressureBytes {
 		b.rejectMalformed(c)
 		return false
--- a/internal/proxy/server_connection.go
+++ b/internal/proxy/server_connection.go
@@ -81,6 +81,7 @@
 		b.admission.established(c.conn.ticket)
 	}
 	c.conn.markEstablished()
+	conn.markBulk()
 	if b.zoneLinks != nil {
 		b.zoneLinks.attach(c)
 	}
--- a/internal/proxy/shaping.go
+++ b/internal/proxy/shaping.go
@@ -43,7 +43,7 @@
 		c.passEndedData(n)
 	case c.state != live || c.conn == nil || c.paused || c.readDeferred:
 		queue.returnUnused(n)
-	case c.balancer.queue.isLong():
+	case c.balancer.queue.isLongFor(c):
 		queue.returnUnused(n)
 		c.balancer.queue.deferRead(c)
 	default:
@@ -174,7 +174,7 @@
 func (c *connection) passEndedData(granted int) {
 	queue, data := c.queue, c.endedData
 	for len(data.pieces) > 0 {
-		if c.paused || c.readDeferred || c.balancer.queue.isLong() {
+		if c.paused || c.readDeferred || c.balancer.queue.isLongFor(c) {
 			if !c.paused && !c.readDeferred {
 				c.balancer.queue.deferRead(c)
 			}
--- a/internal/proxy/shutdown_test.go
+++ b/internal/proxy/shutdown_test.go
@@ -339,7 +339,7 @@
 			return 2 * time.Second
 		},
 		"events queued": func(b *Balancer) time.Duration {
-			b.queue.list = []event{{kind: eventAccepted}}
+			b.queue.urgent = []event{{kind: eventAccepted}}
 			return 2 * time.Second
 		},
 		"a client moves": func(b *Balancer) time.Duration {
