--- a/internal/proxy/event_queue_test.go
+++ b/internal/proxy/event_queue_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"io"
+	"log/slog"
 	"net"
 	"slices"
 	"strings"
@@ -114,3 +116,31 @@
 		t.Errorf("%d pieces of up to %d bytes are queued", n, readSize)
 	}
 }
+
+// Guards against memory that grows without end while clients connect, send and reset their connections faster than the
+// loop handles them.
+func TestClientsThatComeAndGoAreBounded(t *testing.T) {
+	p := startExchange(t, "")
+	b, err := New(p.balancer.cfg, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Start(); err != nil { // without Run, so that the loop handles no event
+		t.Fatal(err)
+	}
+	for range 2 * maxUrgentEvents {
+		c, err := net.DialTimeout("tcp", b.Addr(), 50*time.Millisecond)
+		if err != nil { // the system's queue is full
+			break
+		}
+		_, _ = io.WriteString(c, "PING\r\n")
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	time.Sleep(10 * acceptRetry)
+	b.queue.mu.Lock()
+	defer b.queue.mu.Unlock()
+	if n := len(b.queue.urgent) + len(b.queue.bulk); n > 2*maxUrgentEvents {
+		t.Fatal(n, "events are queued")
+	}
+}
