What a client sent before it reset its connection is not used any more

Cause: a reset is the last event of its connection. Bytes that arrived before it are read, queued and handled first, and an attempt whose connection is established before the reset is handled sends its request. When the loop is behind, that is long after the client has left. With limited links such bytes were dropped already (readToEnd).

Change: a client's socket that the system has in the state CLOSE is not read any more, and data that is queued is dropped once the reset is known. Before a request is taken, and again before it is sent to a server, the state of the client's socket is asked for, also if the client had closed its sending side before (tail writer). A half-closed client still gets its answer.

--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -60,7 +60,7 @@
 
 func (b *Balancer) handleClientData(c *client, data []byte) {
 	switch {
-	case c.finished:
+	case c.finished || c.conn.clientLeft.Load():
 	case !c.established && !c.requestRead && b.limitFirstBytes(c, len(data)):
 	case c.established:
 		b.forwardFromClient(c, data)
--- a/internal/proxy/connection.go
+++ b/internal/proxy/connection.go
@@ -71,6 +71,7 @@
 
 	accepted, written atomic.Int64 // bytes
 	bulk              atomic.Bool  // what it sends and its end are bulk events; never reset
+	clientLeft        atomic.Bool  // a client's connection broke; what it has sent is not used any more
 	queuedEvents      atomic.Int32 // events of kind eventData in the loop's queue
 	wasQueued         atomic.Bool  // the bytes read last had waited in a queue
 	notifyFlushed     atomic.Bool  // post eventFlushed once all accepted bytes are written
--- a/internal/proxy/connection_read.go
+++ b/internal/proxy/connection_read.go
@@ -37,6 +37,12 @@
 		c.readShaped(poller, 0)
 		return
 	}
+	if c.role == clientRole && c.state == live && stateOf(c.conn) == tcpClose {
+		if poller {
+			c.readEnd(syscall.ECONNRESET) // what the client sent before is not used
+		}
+		return
+	}
 	limit := maxReads
 	firstLine := c.readsFirstLine()
 	if firstLine {
@@ -98,6 +104,7 @@
 	switch {
 	case c.state == finishing:
 	case err != nil:
+		c.clientLeft.Store(c.role == clientRole)
 		c.balancer.queue.post(event{kind: eventReset, conn: c})
 	default:
 		c.balancer.queue.post(event{kind: eventEOF, conn: c})
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -64,6 +64,10 @@
 
 // takeRequest admits or rejects a client's request. No bytes may follow the request line before its answer.
 func (b *Balancer) takeRequest(c *client, line []byte, moreFollows bool) {
+	if c.conn.wasReset() {
+		b.handleClientEnd(c, eventReset)
+		return
+	}
 	request, err := platform.ParseOpen(line)
 	if err != nil || moreFollows {
 		b.rejectMalformed(c)
--- a/internal/proxy/server_connection.go
+++ b/internal/proxy/server_connection.go
@@ -12,7 +12,7 @@
 	}
 	switch e.kind {
 	case eventConnected:
-		b.step(core.AttemptConnected{Client: c.handle, Attempt: conn.attempt})
+		b.handleAttemptConnected(c, conn)
 	case eventDialFailed:
 		c.server = nil
 		b.step(core.AttemptClosed{Client: c.handle, Attempt: conn.attempt, Reason: core.CloseRefused})
@@ -30,6 +30,16 @@
 	}
 }
 
+// handleAttemptConnected passes the event on, unless the client has reset its connection: its request must not be sent,
+// also if the reset is still to be handled.
+func (b *Balancer) handleAttemptConnected(c *client, conn *connection) {
+	if c.conn.wasReset() {
+		b.handleClientEnd(c, eventReset)
+		return
+	}
+	b.step(core.AttemptConnected{Client: c.handle, Attempt: conn.attempt})
+}
+
 func (b *Balancer) handleServerEnd(c *client, conn *connection, kind eventKind) {
 	reason := closeReason(kind)
 	if closing := closingLineReason(c.lastServerLine); closing != core.CloseEOF {
--- a/internal/proxy/socket.go
+++ b/internal/proxy/socket.go
@@ -24,26 +24,58 @@
 	}
 }
 
-// TCP states in which the peer has not closed (include/net/tcp_states.h). In the two FIN-WAIT states this side has.
+// tcpConnState is the state of a TCP connection (include/net/tcp_states.h).
+type tcpConnState int
+
+// In the states from tcpEstablished to tcpFinWait2 the peer has not closed; in the two FIN-WAIT states this side has. A
+// connection that the peer has reset is in tcpClose.
 const (
-	tcpEstablished = 1
-	tcpSynRecv     = 3
-	tcpFinWait1    = 4
-	tcpFinWait2    = 5
-	tcpStateMask   = 0xff // the state is the first byte of TCP_INFO
+	tcpEstablished tcpConnState = 1
+	tcpSynRecv     tcpConnState = 3
+	tcpFinWait1    tcpConnState = 4
+	tcpFinWait2    tcpConnState = 5
+	tcpClose       tcpConnState = 7
 )
 
+const tcpStateMask = 0xff // the state is the first byte of TCP_INFO
+
+// tcpStateOf returns the state of a socket, or tcpClose if it has none.
+func tcpStateOf(fd int) tcpConnState {
+	info, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
+	if err != nil {
+		return tcpClose
+	}
+	return tcpConnState(info & tcpStateMask)
+}
+
+// stateOf returns the state of a connection, or tcpClose if nbio has closed it.
+func stateOf(polled *nbio.Conn) tcpConnState {
+	state := tcpClose
+	withDescriptor(polled, func(fd int) { state = tcpStateOf(fd) })
+	return state
+}
+
 // peerHasClosed reports whether the peer has closed its sending side. Bytes sent before may still be unread.
 func peerHasClosed(polled *nbio.Conn) bool {
-	closed := true
-	withDescriptor(polled, func(fd int) {
-		state, err := syscall.GetsockoptInt(fd, syscall.IPPROTO_TCP, syscall.TCP_INFO)
-		switch state & tcpStateMask {
-		case tcpEstablished, tcpSynRecv, tcpFinWait1, tcpFinWait2:
-			closed = err != nil
-		}
-	})
-	return closed
+	switch stateOf(polled) {
+	case tcpEstablished, tcpSynRecv, tcpFinWait1, tcpFinWait2:
+		return false
+	}
+	return true
+}
+
+// wasReset reports whether the peer has reset the connection, or this side has ended it. Bytes that the peer sent before
+// may still be unread.
+func (c *connection) wasReset() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.tail != nil:
+		return c.tail.wasReset()
+	case c.conn == nil:
+		return false
+	}
+	return c.state == ended || stateOf(c.conn) == tcpClose
 }
 
 // removeFromEpoll removes a connection from nbio's epoll set. nbio relies on close(2), which removes a socket only with
--- a/internal/proxy/tail_writer.go
+++ b/internal/proxy/tail_writer.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -53,6 +54,20 @@
 	return duplicate
 }
 
+// wasReset reports whether the client has reset the connection.
+func (t *tailWriter) wasReset() (reset bool) {
+	socket, ok := t.conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	err = raw.Control(func(fd uintptr) { reset = tcpStateOf(int(fd)) == tcpClose })
+	return reset || err != nil
+}
+
 func (t *tailWriter) push(data []byte) {
 	t.mu.Lock()
 	t.pending = append(t.pending, data...)
