A request whose id has run is answered as failed, also at the other process of an upgrade

During an upgrade the other process served it while the first one's connection was still open (TestIDRunsOnce).

Cause: the reducer refused an id only while a request with it was open in the same process.

A request that no server can have run leaves its id free. Connections that go on (mid=1, at=) are exempt. Where processes share a listening socket, each writes the hash of an id to a small file in the state directory before it sends the request, and then looks whether another process has written it. So of two processes with one id at most one sends it.

Evidence: both cases of TestIDRunsOnce were answered UP on the code before.

--- a/cmd/oatloft/flood_test.go
+++ b/cmd/oatloft/flood_test.go
@@ -124,3 +124,46 @@
 	clients.Wait()
 	return lost.Load()
 }
+
+// Guards against a request that runs twice when its id comes again, at the same process or at the other one of an
+// upgrade, after its client has left or while it is there.
+func TestIDRunsOnce(t *testing.T) {
+	for name, stays := range map[string]bool{"its client has left": false, "its client is there": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newService(t, fake.Options{Sockets: 256, MemoryMB: 64, PassThrough: true})
+			open := func() (net.Conn, string) {
+				c, err := net.Dial("tcp", s.launch.Addr)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+				_, _ = io.WriteString(c, "OPEN the-id k c=chat,d=2000\r\n")
+				answer, _ := bufio.NewReader(c).ReadString('\n')
+				return c, answer
+			}
+			first, answer := open()
+			if !strings.HasPrefix(answer, "UP") {
+				t.Fatalf("answered %q", answer)
+			}
+			defer func() { _ = first.Close() }()
+			if !stays {
+				_ = first.Close()
+			}
+			s.upgrade()
+			for range 40 { // to either process
+				again, answer := open()
+				if answer != "ERR\r\n" {
+					t.Fatalf("the id again: answered %q", answer)
+				}
+				_ = again.Close()
+			}
+			ran := int64(0)
+			for _, server := range s.Servers {
+				ran += server.Took()
+			}
+			if ran != 1 {
+				t.Errorf("the request ran %d times", ran)
+			}
+		})
+	}
+}
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -21,6 +21,7 @@
 	deciding bool            // decide is passing events to the module
 
 	requests    requestTable
+	recent      recentRequests
 	idle        idleClients
 	endpoints   endpointTable
 	watch       watchState
@@ -129,6 +130,8 @@
 	switch event := event.(type) {
 	case AttemptConnected:
 		r.attemptConnected(event)
+	case SentElsewhere:
+		r.sentElsewhere(event)
 	case RequestSent:
 		r.requestSent(event)
 	case AttemptAccepted:
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -85,24 +85,30 @@
 // OpenRequests returns the number of open requests, including those with an established connection.
 func (r *Reducer) OpenRequests() int { return len(r.requests.byClient) }
 
+// mayHaveRun reports whether a server may have run the request.
+func (q *request) mayHaveRun() bool { return q.mayHaveRunAt > 0 || q.state >= sending }
+
+// continuesConnection reports whether the request continues a connection that a server holds already: the server does
+// not run it again.
+func (q *request) continuesConnection() bool { return q.MidFlow || !q.isNew() }
+
 // requestReceived handles a new request. A request that is invalid for any server is answered as failed: one with a
-// class that is not configured, a second one of the same client, or one with an id in use here.
+// class that is not configured, a second one of the same client, or one whose id is in use here or has been.
 func (r *Reducer) requestReceived(event RequestReceived) {
 	r.idle.remove(event.Client)
 	r.Counters.Requests++
-	_, classKnown := r.classes.byName[event.Class]
-	if !classKnown || r.requests.byClient[event.Client] != nil || r.requests.byID[event.ID] != nil {
-		r.Counters.InvalidRequests++
-		r.Counters.Failed++
-		r.emit(Answer{Client: event.Client})
-		return
-	}
 	q := &request{
 		Request:           event.Request,
 		client:            event.Client,
 		establishedServer: event.EstablishedServer,
 		attempt:           attempt{number: -1},
 	}
+	if !r.isValid(q) {
+		r.Counters.InvalidRequests++
+		r.Counters.Failed++
+		r.emit(Answer{Client: event.Client})
+		return
+	}
 	q.Timeout = r.limitTimeout(max(0, q.Timeout-finalAnswerMargin))
 	q.deadline = r.now + q.Timeout
 	r.requests.add(q)
@@ -118,6 +124,27 @@
 	r.decide(q.Request)
 }
 
+func (r *Reducer) isValid(q *request) bool {
+	_, classKnown := r.classes.byName[q.Class]
+	switch {
+	case !classKnown, r.requests.byClient[q.client] != nil, r.requests.byID[q.ID] != nil:
+		return false
+	}
+	return q.continuesConnection() || !r.recent.has(q.ID)
+}
+
+// sentElsewhere answers a request as failed, since another process of this balancer has sent a request with its id.
+func (r *Reducer) sentElsewhere(event SentElsewhere) {
+	q := r.requests.byClient[event.Client]
+	if q == nil || q.state == established || q.continuesConnection() {
+		return
+	}
+	r.Counters.InvalidRequests++
+	r.Counters.Failed++
+	r.emit(Answer{Client: q.client, Reason: reasonSentElsewhere})
+	r.abandonRequest(q)
+}
+
 // reestablish re-establishes a connection from before this process on the same server, once that is listed. The
 // module is not consulted: the platform assigns the server.
 func (r *Reducer) reestablish(q *request) {
@@ -233,6 +260,9 @@
 // finish removes a request. It passes the event, if not nil, to the module if the module knows the request.
 func (r *Reducer) finish(q *request, event policy.Event) {
 	r.requests.remove(q)
+	if q.mayHaveRun() {
+		r.recent.add(q.ID, r.now)
+	}
 	if event != nil && (q.isNew() || q.state == established) {
 		r.decide(event)
 	}
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -67,6 +67,7 @@
 	stateDir         *hotrestart.Dir    // nil if no state is shared with operators or other processes
 	presence         *hotrestart.Presence
 	otherProcesses   hotrestart.Usage
+	sentRequests     *hotrestart.SentRequests // nil if no socket is shared with other processes
 
 	peers           *membership.Host // nil if no peers are configured
 	sentSignals     sentSignals
@@ -196,6 +197,9 @@
 	if b.presence != nil {
 		b.presence.Close()
 	}
+	if b.sentRequests != nil {
+		b.sentRequests.Close()
+	}
 	if b.peers != nil {
 		b.peers.Close()
 	}
--- a/internal/proxy/client.go
+++ b/internal/proxy/client.go
@@ -17,6 +17,7 @@
 	partialLine []byte // the part of the first line received so far
 	request     platform.Open
 	requestRead bool // the first line is complete
+	idShared    bool // other processes of this balancer can see the request's id
 	established bool // the flow is established on a server
 	finished    bool // nothing more is to be answered or forwarded
 
--- a/internal/proxy/hot_restart.go
+++ b/internal/proxy/hot_restart.go
@@ -99,6 +99,23 @@
 	b.step(core.OverlappingProcesses{Count: placing})
 }
 
+// sentElsewhere reports whether another process of this balancer has sent a request with the client's id, or is about
+// to. It records that this process is about to.
+func (b *Balancer) sentElsewhere(c *client) bool {
+	if b.sentRequests == nil || c.request.MidFlow || c.request.EstablishedAt != "" {
+		return false
+	}
+	hash := max(1, core.HashRequestID(c.request.ID))
+	if !c.idShared {
+		if err := b.sentRequests.Add(hash); err != nil {
+			b.limitedLog.Say(time.Now(), slog.LevelError, "sent",
+				"cannot share the ids of requests with other processes of this balancer", slog.Any("err", err))
+		}
+		c.idShared = true
+	}
+	return b.sentRequests.SentByOther(hash)
+}
+
 // writeForSuccessor writes the state that the next process takes over.
 func (b *Balancer) writeForSuccessor() {
 	if b.inherited == nil {
--- a/internal/proxy/management.go
+++ b/internal/proxy/management.go
@@ -27,6 +27,8 @@
 		b.presence, err = b.stateDir.Register()
 		if err != nil {
 			b.log.Error("cannot register with other processes of this balancer", "err", err)
+		} else if b.sentRequests, err = b.presence.SentRequests(); err != nil {
+			b.log.Error("cannot share the ids of requests with other processes of this balancer", "err", err)
 		}
 		b.exchangeUsage(int64(heapBytes()))
 	}
--- a/internal/proxy/server_connection.go
+++ b/internal/proxy/server_connection.go
@@ -37,6 +37,10 @@
 		b.handleClientEnd(c, eventReset)
 		return
 	}
+	if b.sentElsewhere(c) {
+		b.step(core.SentElsewhere{Client: c.handle})
+		return
+	}
 	b.step(core.AttemptConnected{Client: c.handle, Attempt: conn.attempt})
 }
 
