Timers of closed requests are dropped at each turn of the timer wheel

What is seen: a client may name a time of up to 71 minutes. The deadline's timer stayed that long, also if the request had been answered or its client had left: 50 of 50 timers were left after two turns of the wheel (TestTimersOfClosedRequestsAreDropped without the change). Requests under ever new names thus let memory grow for 71 minutes.

Change: when the wheel visits a slot (every 5.12 s), it drops timers of requests that are closed.

--- a/internal/core/recent_requests_test.go
+++ b/internal/core/recent_requests_test.go
@@ -73,6 +73,27 @@
 	}
 }
 
+// Guards against memory that grows with every closed request whose client had named a long time.
+func TestTimersOfClosedRequestsAreDropped(t *testing.T) {
+	b := newTestbed(t, nil)
+	for i := range 50 {
+		single[Dial](b, b.request(Handle(i+1), time.Hour))
+		b.step(ClientClosed{Client: Handle(i + 1), Reason: CloseReset})
+	}
+	b.advance(2 * wheelSlots * TickInterval)
+	n := 0
+	for _, slot := range b.r.timers.slots {
+		for _, timer := range slot {
+			if timer.client > 0 {
+				n++
+			}
+		}
+	}
+	if n > 0 {
+		t.Fatal(n, "timers of closed requests are left")
+	}
+}
+
 // Guards against a request that runs at both processes of an upgrade: it is answered as failed where the other process
 // has sent it, and no other attempt begins.
 func TestRequestSentByOtherProcess(t *testing.T) {
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -94,7 +94,7 @@
 	case LeaseChanged:
 		r.leaseChanged(event)
 	case Tick:
-		r.timers.advance(r.now, r.timerFired)
+		r.timers.advance(r.now, r.timerFired, r.isObsolete)
 	}
 }
 
@@ -230,6 +230,16 @@
 	}
 }
 
+// isObsolete reports whether a timer belongs to a request that is closed. A client may name a time of 71 minutes, so
+// the timers of closed requests would add up.
+func (r *Reducer) isObsolete(t timer) bool {
+	switch t.kind {
+	case connectTimer, attemptTimer, deadlineTimer, lineEndTimer:
+		return r.requests.byClient[t.client] == nil
+	}
+	return false
+}
+
 // checkInterval is how often the reducer checks for idle clients, silent servers and silent watches.
 const checkInterval = 250 * time.Millisecond
 
--- a/internal/core/timers.go
+++ b/internal/core/timers.go
@@ -50,7 +50,8 @@
 }
 
 // advance fires all timers that are due. After a pause longer than one rotation, a single rotation visits every slot.
-func (w *timerWheel) advance(now time.Duration, fire func(timer)) {
+// Each rotation drops the timers that are obsolete.
+func (w *timerWheel) advance(now time.Duration, fire func(timer), isObsolete func(timer) bool) {
 	tick := int64(now / TickInterval)
 	w.lastTick = max(w.lastTick, tick-wheelSlots)
 	for w.lastTick < tick {
@@ -60,11 +61,12 @@
 		*slot = nil
 		var later []timer
 		for _, t := range list {
-			if t.tick > w.lastTick {
+			switch {
+			case t.tick <= w.lastTick:
+				fire(t)
+			case !isObsolete(t):
 				later = append(later, t)
-				continue
 			}
-			fire(t)
 		}
 		*slot = append(later, *slot...)
 	}
--- a/internal/core/timers_test.go
+++ b/internal/core/timers_test.go
@@ -19,7 +19,7 @@
 		now  time.Duration
 		want string
 	}{{10 * time.Millisecond, "a"}, {15 * time.Millisecond, "a b"}, {6 * time.Second, "a b c"}, {time.Minute, "a b c d"}} {
-		if w.advance(x.now, fire); strings.Join(fired, " ") != x.want {
+		if w.advance(x.now, fire, func(timer) bool { return false }); strings.Join(fired, " ") != x.want {
 			t.Fatal(x.now, fired)
 		}
 	}
