--- a/internal/core/recent_requests_test.go
+++ b/internal/core/recent_requests_test.go
@@ -24,13 +24,13 @@
 		first func(b *testbed, d Dial)
 		runs  bool // the request with the same id is sent
 	}{
-		"left before it was sent":  {func(b *testbed, _ Dial) { leave(b) }, true},
-		"left while it was sent":   {func(b *testbed, d Dial) { b.step(AttemptConnected{1, d.Attempt}); leave(b) }, false},
-		"left after it was sent":   {func(b *testbed, d Dial) { sent(b, d); leave(b) }, false},
-		"left after UP":            {func(b *testbed, d Dial) { up(b, d); leave(b) }, false},
-		"ended by the server":      {func(b *testbed, d Dial) { up(b, d); b.step(AttemptClosed{1, d.Attempt, CloseFinished}) }, false},
-		"still open":               {up, false},
-		"left, and 25 s went by":   {func(b *testbed, d Dial) { up(b, d); leave(b); b.advance(25 * time.Second) }, false},
+		"left before it was sent": {func(b *testbed, _ Dial) { leave(b) }, true},
+		"left while it was sent":  {func(b *testbed, d Dial) { b.step(AttemptConnected{1, d.Attempt}); leave(b) }, false},
+		"left after it was sent":  {func(b *testbed, d Dial) { sent(b, d); leave(b) }, false},
+		"left after UP":           {func(b *testbed, d Dial) { up(b, d); leave(b) }, false},
+		"ended by the server":     {func(b *testbed, d Dial) { up(b, d); b.step(AttemptClosed{1, d.Attempt, CloseFinished}) }, false},
+		"still open":              {up, false},
+		"left, and 25 s went by":  {func(b *testbed, d Dial) { up(b, d); leave(b); b.advance(25 * time.Second) }, false},
 		"left, and others came": {func(b *testbed, d Dial) {
 			up(b, d)
 			leave(b)
