Backlogs of all connections share an eighth of the memory

Cause: reading pauses once 64 KiB wait for one side, whatever the number of connections; up to 128 KiB more were read before the pause took effect; and a second copy was kept of what waits, which only a client's connection can need (for its tail writer). 340 clients, two directions and two copies of 64 KiB are 85 MB alone.

Change: the threshold is a connection's share of an eighth of the configured memory, at most 64 KiB and at least 8 KiB; a connection is read twice in a row, not four times; the copy is kept for clients only.

--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -3,12 +3,27 @@
 import "oatloft/internal/core"
 
 const (
-	// backpressureBytes is the backlog towards one side above which reading from the other side pauses.
+	// backpressureBytes is the backlog towards one side above which reading from the other side pauses, if memory allows.
 	backpressureBytes = 64 << 10
-	// resumeBytes is the backlog below which reading resumes.
-	resumeBytes = 16 << 10
+	// minBackpressureBytes is its lower bound, which has room for a line.
+	minBackpressureBytes = 8 << 10
+	// resumeFraction is the fraction of the threshold below which reading resumes.
+	resumeFraction = 4
+	// backlogMemoryFraction is the fraction of the configured memory for the backlogs of all connections.
+	backlogMemoryFraction = 8
 )
 
+// pauseThreshold returns the backlog, in bytes, above which reading from the other side pauses: with many flows, each has
+// its share of the memory for backlogs.
+func (b *Balancer) pauseThreshold() int64 {
+	if b.cfg.MemoryMB <= 0 {
+		return backpressureBytes
+	}
+	directions := 2 * int64(max(1, b.core.OpenRequests()))
+	share := int64(b.cfg.MemoryMB) << 20 / backlogMemoryFraction / directions
+	return min(backpressureBytes, max(minBackpressureBytes, share))
+}
+
 // handleFlushed handles a connection whose accepted bytes have all been written.
 func (b *Balancer) handleFlushed(conn *connection) {
 	c := conn.client
@@ -21,9 +36,10 @@
 	b.updateBackpressure(c)
 }
 
-// updateBackpressure notifies the reducer when the backlog towards the client or the server exceeds
-// backpressureBytes, and when it has fallen below resumeBytes again.
+// updateBackpressure notifies the reducer when the backlog towards the client or the server exceeds the threshold, and
+// when it has fallen well below it again.
 func (b *Balancer) updateBackpressure(c *client) {
+	threshold := b.pauseThreshold()
 	for direction, conn := range []*connection{c.conn, c.server} {
 		if conn == nil {
 			continue
@@ -31,11 +47,11 @@
 		toServer := direction == 1
 		backlog := conn.backlog()
 		switch {
-		case !c.backpressure[direction] && backlog > backpressureBytes:
+		case !c.backpressure[direction] && backlog > threshold:
 			c.backpressure[direction] = true
 			conn.flushed() // requests an event for when all is written
 			b.step(core.BackpressureChanged{Client: c.handle, ToServer: toServer, Full: true})
-		case c.backpressure[direction] && backlog < resumeBytes:
+		case c.backpressure[direction] && backlog < threshold/resumeFraction:
 			c.backpressure[direction] = false
 			b.step(core.BackpressureChanged{Client: c.handle, ToServer: toServer})
 		}
--- a/internal/proxy/connection.go
+++ b/internal/proxy/connection.go
@@ -62,7 +62,7 @@
 	discarded       int         // bytes discarded while finishing
 	descriptorFreed bool
 	shutDown        bool   // shut down in both directions; the poller closes the descriptor at its next event
-	unwritten       []byte // copy of the backlog, for the tail writer
+	unwritten       []byte // copy of a client's backlog, for the tail writer
 
 	queue           *bandwidthQueue // shapes the bytes that are read; nil if no bounded link is crossed
 	waitingQueue    *bandwidthQueue // the queue that reading waits in; nil if it does not wait
@@ -98,7 +98,8 @@
 	return true
 }
 
-// writeNow writes what the socket takes and passes the rest to nbio, with a copy in unwritten. The caller holds mu.
+// writeNow writes what the socket takes and passes the rest to nbio, with a copy in unwritten if a tail writer may need
+// it. The caller holds mu.
 func (c *connection) writeNow(data []byte) (err error) {
 	if c.backlog() == 0 {
 		data, err = c.send(data)
@@ -111,7 +112,7 @@
 		return err
 	}
 	backlog := int(c.backlog())
-	if backlog == 0 {
+	if backlog == 0 || c.role != clientRole {
 		c.unwritten = nil
 		return nil
 	}
--- a/internal/proxy/connection_read.go
+++ b/internal/proxy/connection_read.go
@@ -9,7 +9,7 @@
 const (
 	readSize = 8 << 10 // bytes
 	// maxReads is the maximum number of consecutive reads of a connection, and of its data events in the loop's queue.
-	maxReads = 4
+	maxReads = 2
 	// maxFirstReads is that number of reads before the flow is established. It exceeds what any first line needs.
 	maxFirstReads = 1
 	// maxDiscarded is the number of bytes that are discarded while a connection finishes, so that a reset does not
