--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -13,8 +13,8 @@
 	backlogMemoryFraction = 8
 )
 
-// pauseThreshold returns the backlog, in bytes, above which reading from the other side pauses: with many flows, each has
-// its share of the memory for backlogs.
+// pauseThreshold returns the backlog, in bytes, above which reading from the other side pauses. Each flow has its share
+// of the memory for backlogs.
 func (b *Balancer) pauseThreshold() int64 {
 	if b.cfg.MemoryMB <= 0 {
 		return backpressureBytes
--- a/internal/proxy/socket.go
+++ b/internal/proxy/socket.go
@@ -64,8 +64,8 @@
 	return true
 }
 
-// wasReset reports whether the peer has reset the connection, or this side has ended it. Bytes that the peer sent before
-// may still be unread.
+// wasReset reports whether the peer has reset the connection, or this side has ended it. Bytes that the peer sent
+// before may still be unread.
 func (c *connection) wasReset() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
