The loop pauses by the runtime's own sleep, after 4 ms of bulk

A kernel timer was used for the pause of 50 us in each millisecond, and was opened in every process. A loop that waits for one that never fires would stop the balancer.

Change: time.Sleep, which the runtime may round up to a millisecond, after 4 ms of bulk.

--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -15,9 +15,10 @@
 	stallThreshold = 50 * time.Millisecond
 	// backlogTime is the time after a stall within which what arrived meanwhile is expected to have been read.
 	backlogTime = time.Second
-	// maxBusyTime is how long the loop handles bulk events before it lets other goroutines run for pauseTime.
-	maxBusyTime = time.Millisecond
-	pauseTime   = 50 * time.Microsecond
+	// maxBusyTime is how long the loop handles bulk events before it lets other goroutines run for pauseTime, which the
+	// runtime may round up to a millisecond.
+	maxBusyTime = 4 * time.Millisecond
+	pauseTime   = 100 * time.Microsecond
 )
 
 // loopState holds the loop's timers.
@@ -26,7 +27,6 @@
 	nextMemoryCheckAt      time.Time
 	ticks                  <-chan time.Time // nil unless the loop is running
 	lastPauseAt            time.Time
-	pauseTimer             *systemTimer
 	pacedReads             pacedReads
 }
 
@@ -35,8 +35,6 @@
 	ticker := time.NewTicker(core.TickInterval)
 	defer ticker.Stop()
 	b.loop.ticks = ticker.C
-	b.loop.pauseTimer = newSystemTimer()
-	defer b.loop.pauseTimer.close()
 	for !b.mayExit(time.Now()) {
 		select {
 		case <-b.queue.wake:
@@ -71,7 +69,7 @@
 	}
 	b.queue.signal()
 	if now.Sub(b.loop.lastPauseAt) >= maxBusyTime {
-		b.loop.pauseTimer.sleep(pauseTime)
+		time.Sleep(pauseTime)
 		b.loop.lastPauseAt = time.Now()
 	}
 }
