--- a/internal/core/counters.go
+++ b/internal/core/counters.go
@@ -28,7 +28,7 @@
 	ClosedByClient      int64 `json:"EndedTerminal"`  // established connections closed by their client
 	Adopted             int64 `json:"Adopted"`        // connections established before this process started
 	MidFlow             int64 `json:"MidFlow"`        // connections whose packets arrived here in mid-flow
-	InvalidRequests     int64 `json:"Unreadable"`     // requests with an unknown class or an id in use
+	InvalidRequests     int64 `json:"Unreadable"`     // requests with an unknown class, or an id that is in use or has run
 	IdleTimedOut        int64 `json:"SaidNothing"`    // clients closed because they sent no request in time
 	IdleClosed          int64 `json:"SentOff"`        // idle clients closed to free descriptors
 	FlowsInherited      int64 `json:"Handed"`         // flows taken over from the predecessor process
--- a/internal/proxy/doc.go
+++ b/internal/proxy/doc.go
@@ -11,6 +11,7 @@
 //
 //	balancer.go, loop.go, effects.go, event_queue.go, engine.go   process and event loop
 //	connection*.go, tail_writer.go, socket.go, dial.go            a single connection
+//	paced_reads.go                                                clients that send much before a request
 //	client.go, request.go, server_connection.go, migration.go     a client's request and its server
 //	backpressure.go, finishing.go, shutdown.go                    slow peers, connection close, shutdown
 //	listener.go, inherited.go, accept.go, admission.go, lingering_close.go   accepting and rejecting
