Known failure: what closed clients left unread is queued at once

A peer that has closed its sending side is read to its end at once, because nbio closes the socket next.

--- a/internal/proxy/event_queue_test.go
+++ b/internal/proxy/event_queue_test.go
@@ -144,3 +144,27 @@
 		t.Fatal(n, "events are queued")
 	}
 }
+
+// Guards against memory that grows with the number of clients that close their connections with much still unread: what
+// the queue holds is bounded then too.
+func TestQueuedBytesOfClosedConnectionsAreBounded(t *testing.T) {
+	h := newAttemptHarness(t, "unsafe")
+	const flows = 110
+	var clients []*attemptPeer
+	for i := range flows {
+		id := fmt.Sprint(i)
+		client := h.startRequest(id, time.Hour)
+		h.answerAttempt(client, h.awaitAttempt(), id)
+		clients = append(clients, client)
+	}
+	text := strings.Repeat("line\r\n", 8<<10) // 48 KiB, which the system's buffer of a connection has room for
+	for _, client := range clients {
+		client.send(t, text)
+		_ = client.conn.CloseWrite()
+	}
+	h.waitUntil("the ends", func() bool { return h.queuedEvents(eventEOF) == flows })
+	const limit = 4 << 20 // bytes
+	if n := h.queuedEvents(eventData); n > limit/readSize+1 {
+		t.Errorf("%d pieces of up to %d bytes are queued", n, readSize)
+	}
+}
