A pause is not begun when the backlog was written meanwhile

Cause: updateBackpressure reads the backlog, then asks for an event for when all is written, and ignored the answer that all is written already. No event comes then, and nothing ends the pause.

Change: the pause is not begun in that case.

--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -48,8 +48,10 @@
 		backlog := conn.backlog()
 		switch {
 		case !c.backpressure[direction] && backlog > threshold:
+			if conn.flushed() { // all was written meanwhile, so that no event would end the pause
+				continue
+			}
 			c.backpressure[direction] = true
-			conn.flushed() // requests an event for when all is written
 			b.step(core.BackpressureChanged{Client: c.handle, ToServer: toServer, Full: true})
 		case c.backpressure[direction] && backlog < threshold/resumeFraction:
 			c.backpressure[direction] = false
