A pause asks for its end again when data follows the end of the backlog

Cause: the event for an empty backlog is asked for once. If more data, read before the pause, is written before the event is handled, the backlog is long again by then, and nothing ends the pause.

Change: each look at a paused direction asks again.

TestPauseEndsAfterMoreData stands still on the code before (timeout after 20 s, in two of two runs) and passes in five of five.

--- a/internal/proxy/backpressure.go
+++ b/internal/proxy/backpressure.go
@@ -46,14 +46,11 @@
 		}
 		toServer := direction == 1
 		backlog := conn.backlog()
-		switch {
-		case !c.backpressure[direction] && backlog > threshold:
-			if conn.flushed() { // all was written meanwhile, so that no event would end the pause
-				continue
-			}
+		switch { // flushed asks for an event unless all is written: each pause ends with one
+		case !c.backpressure[direction] && backlog > threshold && !conn.flushed():
 			c.backpressure[direction] = true
 			b.step(core.BackpressureChanged{Client: c.handle, ToServer: toServer, Full: true})
-		case c.backpressure[direction] && backlog < threshold/resumeFraction:
+		case c.backpressure[direction] && (backlog < threshold/resumeFraction || conn.flushed()):
 			c.backpressure[direction] = false
 			b.step(core.BackpressureChanged{Client: c.handle, ToServer: toServer})
 		}
--- a/internal/proxy/backpressure_test.go
+++ b/internal/proxy/backpressure_test.go
@@ -46,3 +46,20 @@
 		}
 	}
 }
+
+// Guards against a flow that stands still: a pause ends also if more data is written between the end of the backlog and
+// the event that reports it.
+func TestPauseEndsAfterMoreData(t *testing.T) {
+	h := newAttemptHarness(t, "unsafe")
+	client := h.startRequest("1", time.Hour)
+	server := h.awaitAttempt()
+	h.answerAttempt(client, server, "1")
+	x := h.clientOf("1")
+	client.received = nil
+	data := make([]byte, 4<<20)
+	go func() { _, _ = server.conn.Write(data) }()
+	h.runLoopUntil("the pause", func() bool { return x.backpressure[0] })
+	h.waitUntil("the end of the backlog", func() bool { client.read(); return h.queuedEvents(eventFlushed) > 0 })
+	h.balancer.forwardFromServer(x, data)
+	h.runLoopUntil("all bytes", func() bool { client.read(); return len(client.received) == 2*len(data) })
+}
