The address of discovery that was changed last holds, for each new process too

Cause: a start took PROXY_DISCOVERY before the file, a reload the file before the variable, and neither looked which of them had been changed. Taking the file first at a start would lose what works today, a new address in the variable alone; a reload did lose that one already.

Change: discoveryChoice has the rule. A process records in the state directory the addresses that it had and the one that answered, and its successor compares. Since the record may be missing (an empty $TMPDIR), the other address is called as well if the first fails or does not answer within 0.3 s; the first answer counts. The reducer sees one call, so its time limits stay. Tests that set Config.Discovery set its field File now, as the file does.

--- a/internal/hotrestart/file.go
+++ b/internal/hotrestart/file.go
@@ -26,6 +26,7 @@
 const (
 	maintenanceKind = "maintenance"
 	predecessorKind = "left"
+	discoveryKind   = "discovery"
 )
 
 // Dir is the directory with one balancer's files. It is not safe for concurrent use.
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -19,11 +19,13 @@
 func TestFileFormats(t *testing.T) {
 	m := Maintenance{Servers: []string{"s-1", "s-2"}, KnownServers: []string{"s-1", "s-2", "s-3"}}
 	l := PredecessorState{KnownServers: []string{"s-1"}, FlowServers: map[string]string{"key-a": "s-1", "key-b": "s-3"}}
+	a := DiscoveryRecord{Override: "127.0.0.1:1", File: "127.0.0.1:2", Answered: "127.0.0.1:2", StartedMillis: 1700000000000}
 	d := Open(t.TempDir(), "lb 1/a")
-	if err := errors.Join(d.write(maintenanceKind, m), d.write(predecessorKind, l)); err != nil {
+	err := errors.Join(d.write(maintenanceKind, m), d.write(predecessorKind, l), d.WriteDiscovery(a))
+	if err != nil {
 		t.Fatal(err)
 	}
-	for _, kind := range []string{maintenanceKind, predecessorKind} {
+	for _, kind := range []string{maintenanceKind, predecessorKind, discoveryKind} {
 		body, err := os.ReadFile(d.statePath(kind))
 		if err != nil {
 			t.Fatal(err)
@@ -41,6 +43,10 @@
 	if diff := cmp.Diff(l, gotL); err != nil || !ok || diff != "" {
 		t.Error(ok, err, diff)
 	}
+	gotA, ok, err := d.ReadDiscovery()
+	if diff := cmp.Diff(a, gotA); err != nil || !ok || diff != "" {
+		t.Error(ok, err, diff)
+	}
 }
 
 // A presence file may be read by a process of another version while both run.
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -153,3 +153,20 @@
 		t.Fatal("a process that has ended is still seen")
 	}
 }
+
+// Guards against a record of a process that is about to end in the place of its successor's, which has newer addresses.
+func TestDiscoveryRecordOfLatestProcessStays(t *testing.T) {
+	d := Open(t.TempDir(), "lb")
+	if _, ok, err := d.ReadDiscovery(); ok || err != nil {
+		t.Error(ok, err)
+	}
+	later := DiscoveryRecord{Override: "b", Answered: "b", StartedMillis: 2}
+	for _, record := range []DiscoveryRecord{{Override: "a", Answered: "a", StartedMillis: 1}, later, {Override: "a", StartedMillis: 1}} {
+		if err := d.WriteDiscovery(record); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if got, ok, err := d.ReadDiscovery(); got != later || !ok || err != nil {
+		t.Error(got, ok, err)
+	}
+}
--- a/internal/proxy/admission.go
+++ b/internal/proxy/admission.go
@@ -16,8 +16,8 @@
 	// maxSpares is the number of descriptors reserved for when the process has run out of them: one to answer a
 	// connection, one to hand a connection over to a tail writer.
 	maxSpares = 2
-	// discoveryDescriptors is the number of descriptors for discovery: the current watch and its predecessor.
-	discoveryDescriptors = 2
+	// discoveryDescriptors is the number of descriptors for discovery: the calls to two addresses and the previous watch.
+	discoveryDescriptors = 3
 )
 
 // Admission holds the admission settings, including those of package admission.
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -34,6 +34,7 @@
 	queue           eventQueue
 	batch           []event
 	loop            loopState
+	startedAt       time.Time
 	lastIterationAt time.Time // start of the loop's latest iteration
 	// backloggedUntil is the time by which lines that arrived while this process was stalled are expected to have been
 	// read.
@@ -53,7 +54,11 @@
 	finishing  map[*connection]struct{}
 	migrating  map[*client]struct{}
 	probes     map[string]*probe // by server
+	discovery  discoveryChoice
 	watch      *watch
+	// secondWatch is the call to discovery's second address while the first one has not answered.
+	secondWatch  *watch
+	secondCallAt time.Time // when the second address is called; zero if it is not
 	// previousWatch stays open until its successor has answered.
 	previousWatch *watch
 
@@ -104,6 +109,7 @@
 		probes:          map[string]*probe{},
 		calls:           make(chan func()),
 		maintenanceLock: make(chan struct{}, 1),
+		startedAt:       time.Now(),
 		loopEnded:       make(chan struct{}),
 	}
 	b.descriptorLimit.Store(b.availableDescriptors(cfg))
@@ -113,6 +119,7 @@
 	if err := b.openSockets(); err != nil {
 		return nil, err
 	}
+	b.chooseDiscoveryAtStart()
 	if b.admission != nil {
 		b.admission.shared = b.inherited != nil
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -12,7 +12,7 @@
 type Config struct {
 	Name        string
 	Listen      string
-	Discovery   string
+	Discovery   DiscoveryAddresses
 	StateDir    string // directory for state handed to the next process; empty for the system's temporary one
 	Management  string // address for operators' calls; empty for none
 	InheritedFD string // descriptor of a listening socket inherited from the platform; empty for none
--- a/internal/proxy/effects.go
+++ b/internal/proxy/effects.go
@@ -40,7 +40,7 @@
 	case core.Watch:
 		b.openWatch(e.Version)
 	case core.StopWatch:
-		dropWatch(&b.watch)
+		b.stopWatch()
 	case core.Exit:
 		b.beginClosing(e.Deadline)
 	case core.Dial:
--- a/internal/proxy/exchange_test.go
+++ b/internal/proxy/exchange_test.go
@@ -90,6 +90,13 @@
 }
 
 func startExchange(t *testing.T, text string) *exchange {
+	t.Helper()
+	return startConfiguredExchange(t, text, func(*exchange, *Config) {})
+}
+
+// startConfiguredExchange starts an exchange whose balancer's configuration is changed before.
+func startConfiguredExchange(t *testing.T, text string, configure func(*exchange, *Config)) *exchange {
+	t.Helper()
 	p := &exchange{t: t, servers: map[string]net.Listener{}, peers: map[string]*testPeer{},
 		attempts: make(chan *testPeer, 99), watchCalls: make(chan *testPeer, 99),
 		leave: make(chan struct{}), reload: make(chan Config), ended: make(chan error, 1), stepTimeout: 3 * time.Second}
@@ -125,6 +132,7 @@
 	if managementLine.MatchString(text) {
 		cfg.Management, cfg.StateDir = "127.0.0.1:0", t.TempDir()
 	}
+	configure(p, &cfg)
 	if p.balancer, err = New(cfg, slog.New(slog.DiscardHandler)); err != nil {
 		t.Fatal(err)
 	}
@@ -244,7 +252,7 @@
 		},
 		"reload": func(p *exchange, words []string, _ int) error {
 			cfg := p.balancer.cfg // safe: only a reload changes it, and exchanges reload once
-			cfg.Discovery = words[1]
+			cfg.Discovery.File = words[1]
 			p.reload <- cfg
 			return nil
 		},
--- a/internal/proxy/loop.go
+++ b/internal/proxy/loop.go
@@ -155,6 +155,7 @@
 		b.loop.nextOtherProcessReadAt = now.Add(stateDirPollInterval)
 		b.readOtherProcess()
 	}
+	b.callSecondAddress(now)
 	if b.peers != nil {
 		b.sendSignals(now)
 	}
--- a/internal/proxy/parse_config.go
+++ b/internal/proxy/parse_config.go
@@ -49,7 +49,7 @@
 }
 
 // Overrides are settings from flags and the environment. Those that are not empty take precedence over the
-// configuration file.
+// configuration file, except for Discovery: see discoveryChoice.
 type Overrides struct{ Name, Listen, Discovery, Management, Inherited, State string }
 
 // LoadConfig reads the configuration file at path. The error is *UnreadableConfig, *ConfigError, or the error of a
@@ -65,11 +65,15 @@
 			},
 		}
 	}
-	return ParseConfig(body, overrides)
+	c, err := ParseConfig(body, overrides)
+	if c.Discovery.Override != "" && checkAddress("discovery", c.Discovery.File) != nil {
+		c.Discovery.File = ""
+	}
+	return c, err
 }
 
-// ReloadConfig reads the configuration file again while the balancer serves. Discovery may have moved since the
-// start, so its address in the file takes precedence over the override.
+// ReloadConfig reads the configuration file again while the balancer serves. An address of discovery in the file has to
+// be valid even if an override is set, because it may be a new one.
 func ReloadConfig(path string, overrides Overrides) (Config, error) {
 	body, err := os.ReadFile(path)
 	if err != nil {
@@ -81,12 +85,11 @@
 			},
 		}
 	}
-	var file struct {
-		Discovery string `json:"discovery"`
+	c, err := ParseConfig(body, overrides)
+	if err == nil && c.Discovery.File != "" {
+		err = checkAddress("discovery", c.Discovery.File)
 	}
-	_ = json.Unmarshal(body, &file) // ParseConfig returns the error
-	overrides.Discovery = cmp.Or(file.Discovery, overrides.Discovery)
-	return ParseConfig(body, overrides)
+	return c, err
 }
 
 // ParseConfig parses a configuration. The error is *UnreadableConfig, *ConfigError, or the error of a section's
@@ -101,7 +104,7 @@
 	c := Config{
 		Name:        cmp.Or(overrides.Name, file.Name),
 		Listen:      cmp.Or(overrides.Listen, file.Listen),
-		Discovery:   cmp.Or(overrides.Discovery, file.Discovery),
+		Discovery:   DiscoveryAddresses{Override: overrides.Discovery, File: file.Discovery},
 		Management:  cmp.Or(overrides.Management, file.Management),
 		InheritedFD: overrides.Inherited,
 		StateDir:    overrides.State,
@@ -138,17 +141,26 @@
 	return len(field) == 0 || bytes.Equal(field, []byte("null"))
 }
 
+// checkAddress checks an address that clients or discovery have. The error is *ConfigError.
+func checkAddress(field, value string) error {
+	if _, err := net.ResolveTCPAddr("tcp", value); err == nil && value != "" {
+		return nil
+	}
+	return &ConfigError{
+		hint.Annotated{
+			Where: field,
+			What:  fmt.Sprintf("%q is not host:port", value),
+			Do:    "set it in the configuration, by flag, or by PROXY_LISTEN or PROXY_DISCOVERY",
+		},
+	}
+}
+
 func (c *Config) validateAddresses() error {
-	for _, address := range []struct{ field, value string }{{"listen", c.Listen}, {"discovery", c.Discovery}} {
-		if _, err := net.ResolveTCPAddr("tcp", address.value); err != nil || address.value == "" {
-			return &ConfigError{
-				hint.Annotated{
-					Where: address.field,
-					What:  fmt.Sprintf("%q is not host:port", address.value),
-					Do:    "set it in the configuration, by flag, or by PROXY_LISTEN or PROXY_DISCOVERY",
-				},
-			}
-		}
+	if err := checkAddress("listen", c.Listen); err != nil {
+		return err
+	}
+	if err := checkAddress("discovery", cmp.Or(c.Discovery.Override, c.Discovery.File)); err != nil {
+		return err
 	}
 	if c.Management == "" {
 		return nil
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -19,7 +19,9 @@
 		b.log.Error("reload failed, the old configuration stays in force", "err", problem)
 		return
 	}
-	discoveryMoved := cfg.Discovery != b.cfg.Discovery
+	choice := b.discovery.afterReload(b.cfg.Discovery, cfg.Discovery)
+	discoveryMoved := choice.first != b.discovery.first || choice.second != ""
+	b.discovery = choice
 	cfg.ClockOrigin, cfg.Peers, cfg.Revisions = b.cfg.ClockOrigin, b.cfg.Peers, b.cfg.Revisions
 	b.cfg = cfg
 	b.counters.Reloads++
@@ -39,7 +41,7 @@
 	if b.revisions != nil && b.revisions.inForce != nil {
 		b.setLinks(b.revisions.inForce.Content.Links) // tenants' shares may have changed
 	}
-	b.log.Info("reloaded", "discovery", cfg.Discovery)
+	b.logDiscovery("reloaded")
 }
 
 // cannotReload returns why a configuration cannot be applied while serving, as a text or an error for the log. If it
--- a/internal/proxy/server_list_test.go
+++ b/internal/proxy/server_list_test.go
@@ -412,7 +412,7 @@
 			)
 			stopHeartbeats := old.sendHeartbeats()
 			cfg := p.balancer.cfg
-			cfg.Discovery = p.servers["moved"].Addr().String()
+			cfg.Discovery.File = p.servers["moved"].Addr().String()
 			p.reload <- cfg
 			first := p.nextCall(t)
 			stopHeartbeats()
--- a/internal/proxy/shutdown.go
+++ b/internal/proxy/shutdown.go
@@ -173,7 +173,7 @@
 			p.conn.drop()
 		}
 	}
-	dropWatch(&b.watch)
+	b.stopWatch()
 	dropWatch(&b.previousWatch)
 	b.engine.Stop()
 	if b.admission != nil {
