A reload reaches all processes that share the listening socket

SIGHUP during an upgrade reaches one process. The other one, if it had read the file just before the change, kept the old configuration and the old address of discovery for as long as it ran.

Cause: nothing told one process of a balancer that another one had a new configuration.

Change: a process that has applied a reload announces it in the state directory; the others read the file again, unless they have read it since. A reload that follows another is not announced.

--- a/cmd/oatloft/discovery_moved_test.go
+++ b/cmd/oatloft/discovery_moved_test.go
@@ -218,6 +218,24 @@
 			moveByFile(m)
 			m.upgradeAndStop()
 		},
+		"signal to the old process only, after the new one has started": func(m *movingDiscovery) {
+			old := m.upgrade()
+			m.move()
+			m.writeFile()
+			m.signalReload(old)
+			old.Signal(syscall.SIGTERM)
+			if err := old.Over(10 * time.Second); err != nil {
+				m.t.Fatal(err)
+			}
+		},
+		"signal to the new process only, the old one serves on": func(m *movingDiscovery) {
+			old := m.upgrade()
+			m.move()
+			m.writeFile()
+			m.signalReload(m.process)
+			m.process.Kill()
+			m.process = old
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/hotrestart/discovery.go
+++ b/internal/hotrestart/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"time"
 )
 
 // DiscoveryRecord says which address of discovery a process used. The next process compares the addresses that it is
@@ -34,3 +35,21 @@
 	}
 	return d.write(discoveryKind, record)
 }
+
+// AnnounceReload tells the balancer's other processes that this one has read the configuration file again. The error is
+// *WriteFailed.
+func (d *Dir) AnnounceReload() error {
+	err := d.write(reloadKind, struct{}{})
+	d.changed(reloadKind) // this process does not follow itself
+	return err
+}
+
+// ReloadAnnounced reports whether another process has announced a reload since the last call, and did so after a time:
+// when this process last read the file.
+func (d *Dir) ReloadAnnounced(after time.Time) bool {
+	if !d.changed(reloadKind) {
+		return false
+	}
+	written, err := d.read(reloadKind, &struct{}{})
+	return err == nil && !written.Before(after.Truncate(time.Millisecond))
+}
--- a/internal/hotrestart/file.go
+++ b/internal/hotrestart/file.go
@@ -27,6 +27,7 @@
 	maintenanceKind = "maintenance"
 	predecessorKind = "left"
 	discoveryKind   = "discovery"
+	reloadKind      = "reload"
 )
 
 // Dir is the directory with one balancer's files. It is not safe for concurrent use.
--- a/internal/hotrestart/golden_test.go
+++ b/internal/hotrestart/golden_test.go
@@ -21,11 +21,11 @@
 	l := PredecessorState{KnownServers: []string{"s-1"}, FlowServers: map[string]string{"key-a": "s-1", "key-b": "s-3"}}
 	a := DiscoveryRecord{Override: "127.0.0.1:1", File: "127.0.0.1:2", Answered: "127.0.0.1:2", StartedMillis: 1700000000000}
 	d := Open(t.TempDir(), "lb 1/a")
-	err := errors.Join(d.write(maintenanceKind, m), d.write(predecessorKind, l), d.WriteDiscovery(a))
+	err := errors.Join(d.write(maintenanceKind, m), d.write(predecessorKind, l), d.WriteDiscovery(a), d.AnnounceReload())
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, kind := range []string{maintenanceKind, predecessorKind, discoveryKind} {
+	for _, kind := range []string{maintenanceKind, predecessorKind, discoveryKind, reloadKind} {
 		body, err := os.ReadFile(d.statePath(kind))
 		if err != nil {
 			t.Fatal(err)
@@ -47,6 +47,9 @@
 	if diff := cmp.Diff(a, gotA); err != nil || !ok || diff != "" {
 		t.Error(ok, err, diff)
 	}
+	if !d.ReloadAnnounced(time.UnixMilli(1700000000000)) || d.ReloadAnnounced(time.Time{}) {
+		t.Error("a reload counts once")
+	}
 }
 
 // A presence file may be read by a process of another version while both run.
--- a/internal/hotrestart/hotrestart_test.go
+++ b/internal/hotrestart/hotrestart_test.go
@@ -170,3 +170,19 @@
 		t.Error(got, ok, err)
 	}
 }
+
+// A reload that another process announces is followed once, unless the file was read after it.
+func TestReloadAnnounced(t *testing.T) {
+	path := t.TempDir()
+	one, other := Open(path, "lb"), Open(path, "lb")
+	start := time.Now()
+	if err := one.AnnounceReload(); err != nil {
+		t.Fatal(err)
+	}
+	if one.ReloadAnnounced(start) || !other.ReloadAnnounced(start) || other.ReloadAnnounced(start) {
+		t.Error("not followed once by the other process")
+	}
+	if Open(path, "lb").ReloadAnnounced(time.Now().Add(time.Minute)) {
+		t.Error("followed by a process that has read the file since")
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -173,29 +173,41 @@
 	if err := balancer.Start(); err != nil {
 		return err
 	}
-	return balancer.Run(context.Background(), shutdown, report, s.configReloads(reload, log))
+	return balancer.Run(context.Background(), shutdown, report, s.configReloads(reload, balancer.ReloadRequests(), log))
 }
 
-// configReloads reads the configuration again at each signal. An invalid file is reported by one line in the log, and
-// the previous configuration stays in force.
-func (s *serve) configReloads(reload <-chan struct{}, log *slog.Logger) <-chan proxy.Config {
+// configReloads reads the configuration again at each signal, and when the balancer requests it. An invalid file is
+// reported by one line in the log, and the previous configuration stays in force.
+func (s *serve) configReloads(signal, requests <-chan struct{}, log *slog.Logger) <-chan proxy.Config {
 	out := make(chan proxy.Config)
 	go func() {
-		for range reload {
-			cfg, err := proxy.ReloadConfig(s.Config, s.overrides())
-			if err == nil {
-				err = s.addEdgeSettings(&cfg)
+		for {
+			followed := false
+			select {
+			case <-signal:
+			case <-requests:
+				followed = true
 			}
+			cfg, err := s.reload()
 			if err != nil {
 				log.Error("reload failed, the old configuration stays in force", "err", err)
 				continue
 			}
+			cfg.ReloadFollowed = followed
 			out <- cfg
 		}
 	}()
 	return out
 }
 
+func (s *serve) reload() (proxy.Config, error) {
+	cfg, err := proxy.ReloadConfig(s.Config, s.overrides())
+	if err == nil {
+		err = s.addEdgeSettings(&cfg)
+	}
+	return cfg, err
+}
+
 // signals returns a channel that receives a value for each of the given signals.
 func signals(caught ...os.Signal) <-chan struct{} {
 	in, out := make(chan os.Signal, 1), make(chan struct{})
--- a/internal/proxy/balancer.go
+++ b/internal/proxy/balancer.go
@@ -73,6 +73,7 @@
 	presence         *hotrestart.Presence
 	otherProcesses   hotrestart.Usage
 	sentRequests     *hotrestart.SentRequests // nil if no socket is shared with other processes
+	reloadRequests   chan struct{}            // another process has read the configuration file again
 
 	peers           *membership.Host // nil if no peers are configured
 	sentSignals     sentSignals
@@ -109,6 +110,7 @@
 		probes:          map[string]*probe{},
 		calls:           make(chan func()),
 		maintenanceLock: make(chan struct{}, 1),
+		reloadRequests:  make(chan struct{}, 1),
 		startedAt:       time.Now(),
 		loopEnded:       make(chan struct{}),
 	}
@@ -175,6 +177,10 @@
 	return nil
 }
 
+// ReloadRequests returns a channel that receives a value when the configuration file has to be read again because
+// another process of this balancer has read it.
+func (b *Balancer) ReloadRequests() <-chan struct{} { return b.reloadRequests }
+
 // Addr returns the address that clients connect to.
 func (b *Balancer) Addr() string { return b.engine.Addrs[0] }
 
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -28,6 +28,9 @@
 	Revisions      *Revisions                     // nil: only the settings apply
 	KnownEndpoints *core.EndpointsListed          // nil: no servers are known at the start
 	ClockOrigin    time.Time                      // origin of the balancer's clock
+	ReadAt         time.Time                      // when the file was read
+	// ReloadFollowed is set if another process of this balancer has read the file again, and this one follows it.
+	ReloadFollowed bool
 }
 
 // UnreadableConfig reports that the configuration file cannot be read.
--- a/internal/proxy/discovery_address_test.go
+++ b/internal/proxy/discovery_address_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"testing"
 	"time"
 
@@ -218,3 +219,55 @@
 		})
 	}
 }
+
+// Guards against a process of an upgrade that has read the configuration before a change, and does not get the signal:
+// the process that gets it makes the others read the file too, each once.
+func TestReloadIsFollowedByOtherProcesses(t *testing.T) {
+	dir := t.TempDir()
+	l, err := net.Listen("tcp", "127.8.1.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	start := func() *exchange {
+		return startConfiguredExchange(t, "", func(_ *exchange, cfg *Config) { cfg.StateDir = dir })
+	}
+	processes := []*exchange{start(), start()}
+	for _, p := range processes {
+		p.onLoop(func() {
+			p.balancer.inherited, p.balancer.stateDir = l, hotrestart.Open(dir, p.balancer.cfg.Name)
+			p.balancer.cfg.ReadAt = time.Now()
+		})
+	}
+	cfg := processes[0].balancer.cfg
+	cfg.Sockets--
+	processes[0].reload <- cfg
+	select {
+	case <-processes[1].balancer.ReloadRequests():
+	case <-time.After(discoveryWait):
+		t.Fatal("the other process does not follow")
+	}
+	followed := processes[1].balancer.cfg
+	followed.ReadAt, followed.ReloadFollowed = time.Now(), true
+	processes[1].reload <- followed
+	time.Sleep(4 * stateDirPollInterval)
+	for i, p := range processes {
+		if len(p.balancer.ReloadRequests()) > 0 {
+			t.Errorf("process %d reads the file again", i)
+		}
+	}
+	p := start() // has read the file after the change
+	p.onLoop(func() {
+		p.balancer.cfg.ReadAt = time.Now().Add(time.Second)
+		if p.balancer.stateDir = hotrestart.Open(dir, p.balancer.cfg.Name); p.balancer.stateDir.ReloadAnnounced(p.balancer.cfg.ReadAt) {
+			t.Error("a process follows a change from before its start")
+		}
+	})
+}
+
+// onLoop runs a function on the balancer's loop.
+func (p *exchange) onLoop(run func()) {
+	done := make(chan struct{})
+	p.balancer.calls <- func() { run(); close(done) }
+	<-done
+}
--- a/internal/proxy/hot_restart.go
+++ b/internal/proxy/hot_restart.go
@@ -31,6 +31,28 @@
 	if b.inherited != nil && !b.core.ShuttingDown() && b.stateDir.PredecessorChanged() {
 		b.readPredecessor()
 	}
+	if b.inherited != nil && b.stateDir.ReloadAnnounced(b.cfg.ReadAt) {
+		b.requestReload()
+	}
+}
+
+// requestReload asks for the configuration file to be read again. A request that is pending already serves as well.
+func (b *Balancer) requestReload() {
+	select {
+	case b.reloadRequests <- struct{}{}:
+	default:
+	}
+}
+
+// announceReload makes the other processes of this balancer read the configuration file too. One that had read it
+// before the change, and did not get the signal, would keep the old configuration.
+func (b *Balancer) announceReload() {
+	if b.inherited == nil {
+		return
+	}
+	if err := b.stateDir.AnnounceReload(); err != nil {
+		b.log.Error("cannot make other processes of this balancer reload", "err", err)
+	}
 }
 
 func (b *Balancer) readMaintenance() {
--- a/internal/proxy/parse_config.go
+++ b/internal/proxy/parse_config.go
@@ -55,6 +55,7 @@
 // LoadConfig reads the configuration file at path. The error is *UnreadableConfig, *ConfigError, or the error of a
 // section's package.
 func LoadConfig(path string, overrides Overrides) (Config, error) {
+	readAt := time.Now()
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, &UnreadableConfig{
@@ -66,6 +67,7 @@
 		}
 	}
 	c, err := ParseConfig(body, overrides)
+	c.ReadAt = readAt
 	if c.Discovery.Override != "" && checkAddress("discovery", c.Discovery.File) != nil {
 		c.Discovery.File = ""
 	}
@@ -75,6 +77,7 @@
 // ReloadConfig reads the configuration file again while the balancer serves. An address of discovery in the file has to
 // be valid even if an override is set, because it may be a new one.
 func ReloadConfig(path string, overrides Overrides) (Config, error) {
+	readAt := time.Now()
 	body, err := os.ReadFile(path)
 	if err != nil {
 		return Config{}, &UnreadableConfig{
@@ -86,6 +89,7 @@
 		}
 	}
 	c, err := ParseConfig(body, overrides)
+	c.ReadAt = readAt
 	if err == nil && c.Discovery.File != "" {
 		err = checkAddress("discovery", c.Discovery.File)
 	}
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -41,6 +41,9 @@
 	if b.revisions != nil && b.revisions.inForce != nil {
 		b.setLinks(b.revisions.inForce.Content.Links) // tenants' shares may have changed
 	}
+	if !cfg.ReloadFollowed {
+		b.announceReload()
+	}
 	b.logDiscovery("reloaded")
 }
 
