A reload leaves the balancer's name as it is

A new name in the file took effect in the running process (in its report), while its state directory kept the old name: report and files disagreed.

Cause: reload replaces the whole configuration, and only listen and management were compared.

Change: the name stays, and the log says so in one line. Refusing the reload would lose a new address of discovery that arrives with it, which works today.

--- a/internal/proxy/discovery_address_test.go
+++ b/internal/proxy/discovery_address_test.go
@@ -264,10 +264,3 @@
 		}
 	})
 }
-
-// onLoop runs a function on the balancer's loop.
-func (p *exchange) onLoop(run func()) {
-	done := make(chan struct{})
-	p.balancer.calls <- func() { run(); close(done) }
-	<-done
-}
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -19,6 +19,10 @@
 		b.log.Error("reload failed, the old configuration stays in force", "err", problem)
 		return
 	}
+	if cfg.Name != b.cfg.Name {
+		b.log.Warn("name: can't change while serving, the old one stays", "name", b.cfg.Name, "file", cfg.Name)
+		cfg.Name = b.cfg.Name
+	}
 	choice := b.discovery.afterReload(b.cfg.Discovery, cfg.Discovery)
 	discoveryMoved := choice.first != b.discovery.first || choice.second != ""
 	b.discovery = choice
