A refused reload leaves admission's limits as they are

A reload that was refused because of another setting of the edge file (peers, revisions) had already changed admission's limits, against README's "all of it or nothing".

Cause: cannotReload applied admission's settings before it compared the two sections behind them.

Change: admission comes last.

--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -60,15 +60,15 @@
 	if cfg.Management != b.cfg.Management {
 		return fmt.Sprintf("management: can't change from %q to %q while serving", b.cfg.Management, cfg.Management)
 	}
-	if err := b.reloadAdmission(cfg.Admission); err != nil {
-		return err
-	}
 	if !cfg.Peers.equal(b.cfg.Peers) {
 		return "peers: can't change while serving"
 	}
 	if !cfg.Revisions.equal(b.cfg.Revisions) {
 		return hint.Line(&ImmutableSetting{"revisions"})
 	}
+	if err := b.reloadAdmission(cfg.Admission); err != nil {
+		return err // not the method's result itself: a nil error in an any is not nil
+	}
 	return nil
 }
 
