A reload is announced also by a process that cannot apply it

Cause: a process announced a reload only after it had applied it. Where management stands in the file alone, an upgrade changes it there, so that the old process refuses the next reload; if the signal went to that one, the new process, which could apply it, did not hear of it.

Change: the announcement comes first, and each process decides for itself. TestReloadIsFollowedByOtherProcesses has such a reload now and fails on the code before.

--- a/internal/proxy/discovery_address_test.go
+++ b/internal/proxy/discovery_address_test.go
@@ -240,7 +240,7 @@
 		})
 	}
 	cfg := processes[0].balancer.cfg
-	cfg.Sockets--
+	cfg.Management = "127.0.0.1:1" // which this process cannot apply, but another one may
 	processes[0].reload <- cfg
 	select {
 	case <-processes[1].balancer.ReloadRequests():
--- a/internal/proxy/hot_restart.go
+++ b/internal/proxy/hot_restart.go
@@ -45,7 +45,8 @@
 }
 
 // announceReload makes the other processes of this balancer read the configuration file too. One that had read it
-// before the change, and did not get the signal, would keep the old configuration.
+// before the change, and did not get the signal, would keep the old configuration. Each decides for itself whether it
+// can apply the new one.
 func (b *Balancer) announceReload() {
 	if b.inherited == nil {
 		return
--- a/internal/proxy/reload.go
+++ b/internal/proxy/reload.go
@@ -15,6 +15,9 @@
 	if b.exiting {
 		return // the reducer has finished
 	}
+	if !cfg.ReloadFollowed {
+		b.announceReload()
+	}
 	if problem := b.cannotReload(cfg); problem != nil {
 		b.log.Error("reload failed, the old configuration stays in force", "err", problem)
 		return
@@ -45,9 +48,6 @@
 	if b.revisions != nil && b.revisions.inForce != nil {
 		b.setLinks(b.revisions.inForce.Content.Links) // tenants' shares may have changed
 	}
-	if !cfg.ReloadFollowed {
-		b.announceReload()
-	}
 	b.logDiscovery("reloaded")
 }
 
