--- a/internal/core/attempts.go
+++ b/internal/core/attempts.go
@@ -22,7 +22,7 @@
 	reasonTooLate        = "late"     // less than minTimeLeft remains
 	reasonServerClosed   = "ended"    // the server closed the connection
 	reasonNoOtherServer  = "platform" // the platform assigned the server, so no other one may be tried
-	reasonSentElsewhere  = "twice"    // another process has sent a request with the same id
+	reasonSentByOther    = "twice"    // another process has sent a request with the same id
 )
 
 // attempt is the latest attempt of a request. A request has at most one pending attempt.
--- a/internal/core/events.go
+++ b/internal/core/events.go
@@ -88,9 +88,9 @@
 		Client  Handle
 		Attempt int
 	}
-	// SentElsewhere reports, in place of AttemptConnected, that another process of this balancer has sent a request with
-	// the same id.
-	SentElsewhere struct{ Client Handle }
+	// SentByOtherProcess reports, in place of AttemptConnected, that another process of this balancer has sent a request
+	// with the same id.
+	SentByOtherProcess struct{ Client Handle }
 	// RequestSent reports that the last byte of the request was sent.
 	RequestSent struct {
 		Client  Handle
@@ -177,7 +177,7 @@
 func (BackpressureChanged) event()  {}
 func (ServerDataQueued) event()     {}
 func (AttemptConnected) event()     {}
-func (SentElsewhere) event()        {}
+func (SentByOtherProcess) event()   {}
 func (RequestSent) event()          {}
 func (AttemptAccepted) event()      {}
 func (AttemptClosed) event()        {}
--- a/internal/core/recent_requests_test.go
+++ b/internal/core/recent_requests_test.go
@@ -99,7 +99,7 @@
 func TestRequestSentByOtherProcess(t *testing.T) {
 	b := newTestbed(t, nil)
 	single[Dial](b, b.request(1, 2*time.Second))
-	out := append(b.step(SentElsewhere{Client: 1}), b.advance(3*time.Second)...)
+	out := append(b.step(SentByOtherProcess{Client: 1}), b.advance(3*time.Second)...)
 	answers := effectsOf[Answer](out)
 	if len(answers) != 1 || answers[0].Rejected || len(effectsOf[Dial](out))+len(effectsOf[SendRequest](out)) > 0 {
 		t.Fatalf("%v", out)
--- a/internal/core/reducer.go
+++ b/internal/core/reducer.go
@@ -130,8 +130,8 @@
 	switch event := event.(type) {
 	case AttemptConnected:
 		r.attemptConnected(event)
-	case SentElsewhere:
-		r.sentElsewhere(event)
+	case SentByOtherProcess:
+		r.sentByOtherProcess(event)
 	case RequestSent:
 		r.requestSent(event)
 	case AttemptAccepted:
--- a/internal/core/requests.go
+++ b/internal/core/requests.go
@@ -126,22 +126,20 @@
 
 func (r *Reducer) isValid(q *request) bool {
 	_, classKnown := r.classes.byName[q.Class]
-	switch {
-	case !classKnown, r.requests.byClient[q.client] != nil, r.requests.byID[q.ID] != nil:
-		return false
-	}
-	return q.continuesConnection() || !r.recent.has(q.ID)
+	isOpen := r.requests.byClient[q.client] != nil || r.requests.byID[q.ID] != nil
+	hasRun := r.recent.has(q.ID) && !q.continuesConnection()
+	return classKnown && !isOpen && !hasRun
 }
 
-// sentElsewhere answers a request as failed, since another process of this balancer has sent a request with its id.
-func (r *Reducer) sentElsewhere(event SentElsewhere) {
+// sentByOtherProcess answers a request as failed, since another process of this balancer has sent one with its id.
+func (r *Reducer) sentByOtherProcess(event SentByOtherProcess) {
 	q := r.requests.byClient[event.Client]
 	if q == nil || q.state == established || q.continuesConnection() {
 		return
 	}
 	r.Counters.InvalidRequests++
 	r.Counters.Failed++
-	r.emit(Answer{Client: q.client, Reason: reasonSentElsewhere})
+	r.emit(Answer{Client: q.client, Reason: reasonSentByOther})
 	r.abandonRequest(q)
 }
 
--- a/internal/proxy/event_queue.go
+++ b/internal/proxy/event_queue.go
@@ -86,9 +86,9 @@
 	return len(q.urgent) >= maxUrgentEvents
 }
 
-// hasRoomForClients reports whether clients may be accepted. Each brings events, also if it has left again before the
-// loop has handled them: without this limit, clients that come and go faster than that would fill the memory.
-func (q *eventQueue) hasRoomForClients() bool {
+// hasCapacityForClients reports whether clients may be accepted. Each brings events, also if it has left again before
+// the loop has handled them: without this limit, clients that come and go faster than that would fill the memory.
+func (q *eventQueue) hasCapacityForClients() bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	return len(q.urgent) < maxUrgentEvents && len(q.bulk) < 2*maxBulkEvents
--- a/internal/proxy/hot_restart.go
+++ b/internal/proxy/hot_restart.go
@@ -122,9 +122,9 @@
 	b.step(core.OverlappingProcesses{Count: placing})
 }
 
-// sentElsewhere reports whether another process of this balancer has sent a request with the client's id, or is about
-// to. It records that this process is about to.
-func (b *Balancer) sentElsewhere(c *client) bool {
+// sentByOtherProcess reports whether another process of this balancer has sent a request with the client's id, or is
+// about to. It records that this process is about to.
+func (b *Balancer) sentByOtherProcess(c *client) bool {
 	if b.sentRequests == nil || c.request.MidFlow || c.request.EstablishedAt != "" {
 		return false
 	}
--- a/internal/proxy/listener.go
+++ b/internal/proxy/listener.go
@@ -95,13 +95,13 @@
 		if err != nil {
 			return nil, net.ErrClosed
 		}
-		for !b.queue.hasRoomForClients() && !b.acceptLoop.closed.Load() {
+		for !b.queue.hasCapacityForClients() && !b.acceptLoop.closed.Load() {
 			time.Sleep(acceptRetry)
 		}
 		return b.admission.accept(raw)
 	}
 	for !b.acceptLoop.closed.Load() {
-		if b.queue.hasRoomForClients() && b.basicLimits().MayOpen(int(b.sockets.Load())) {
+		if b.queue.hasCapacityForClients() && b.basicLimits().MayOpen(int(b.sockets.Load())) {
 			conn, err := l.acceptOne()
 			if err == nil || errors.Is(err, net.ErrClosed) {
 				return conn, err
--- a/internal/proxy/server_connection.go
+++ b/internal/proxy/server_connection.go
@@ -37,8 +37,8 @@
 		b.handleClientEnd(c, eventReset)
 		return
 	}
-	if b.sentElsewhere(c) {
-		b.step(core.SentElsewhere{Client: c.handle})
+	if b.sentByOtherProcess(c) {
+		b.step(core.SentByOtherProcess{Client: c.handle})
 		return
 	}
 	b.step(core.AttemptConnected{Client: c.handle, Attempt: conn.attempt})
