What clients left unread when they closed is read in turns from the tail's socket

Cause: nbio closes a socket when its peer has closed its sending side, so all that was left in it was read and queued at once, whatever was queued already.

Change: such a client's socket is handed over to its tail writer first, and the rest is read from there in turns while the queue has capacity, with the end behind it. A client that has reset meanwhile is not read any more. When the tail closes, it reads away what is left, so that the last bytes to the client are not lost to a reset.

It waits for the hand-overs, since the ends now come behind the data that is not queued yet, and also checks that all bytes and the end arrive.

--- a/internal/proxy/client_left_test.go
+++ b/internal/proxy/client_left_test.go
@@ -96,3 +96,23 @@
 		t.Errorf("%d lines were forwarded", n)
 	}
 }
+
+// Guards against the rest of what a client has sent, left in its socket when it closed its sending side, that is read
+// and forwarded after it has reset the connection.
+func TestRestOfClientThatLeftIsNotForwarded(t *testing.T) {
+	h := newAttemptHarness(t, "unsafe")
+	client := h.startRequest("1", time.Hour)
+	server := h.awaitAttempt()
+	h.answerAttempt(client, server, "1")
+	server.received = nil
+	conn := h.clientOf("1").conn
+	client.send(t, strings.Repeat("line\r\n", 8<<10))
+	_ = client.conn.CloseWrite()
+	h.waitUntil("the hand-over", conn.hasTail)
+	client.reset()
+	h.waitUntil("the reset", conn.wasReset)
+	h.runLoopUntil("the server's end", func() bool { server.read(); return server.endErr != nil })
+	if n := len(server.received); n > maxReads*readSize { // what was queued before the reset was known
+		t.Errorf("%d bytes were forwarded", n)
+	}
+}
--- a/internal/proxy/connection_read.go
+++ b/internal/proxy/connection_read.go
@@ -29,9 +29,9 @@
 // Only the poller's goroutine (poller is true) may end the connection: a closed descriptor's number is reused
 // immediately, and events that nbio has fetched but not handled would be applied to the new connection. The number of
 // consecutive reads is limited for a fast sender, since the connection cannot be paused while read holds the lock.
-// Once the peer has closed, everything is read, because nbio closes the socket next; that is at most what the system's
-// buffer holds. While finishing, the number of discarded bytes is limited: a fast sender would otherwise occupy the
-// poller, and through the lock the loop, without bound.
+// Once the peer has closed, everything is read, because nbio closes the socket next, unless the rest can be left to a
+// tail writer; that is at most what the system's buffer holds. While finishing, the number of discarded bytes is
+// limited: a fast sender would otherwise occupy the poller, and through the lock the loop, without bound.
 func (c *connection) read(poller bool) {
 	if c.queue != nil && c.state == live {
 		c.readShaped(poller, 0)
@@ -49,7 +49,7 @@
 		limit = maxFirstReads
 	}
 	for reads := 0; ; reads++ {
-		if c.mustStopReading(reads, limit) {
+		if c.mustStopReading(poller, reads, limit) {
 			return
 		}
 		buf := buffers.Get().(*[]byte)
@@ -75,20 +75,72 @@
 	}
 }
 
-// mustStopReading reports whether reading must stop for now. A live connection whose peer has not closed is read again
-// later; what a finishing connection has not discarded stays in the socket until it is closed by force.
-func (c *connection) mustStopReading(reads, limit int) bool {
+// mustStopReading reports whether reading must stop for now. A live connection is read again later, unless its peer has
+// closed and the rest cannot be left to a tail; what a finishing connection has not discarded stays in the socket until
+// it is closed by force.
+func (c *connection) mustStopReading(poller bool, reads, limit int) bool {
 	if c.state == live {
-		mustWait := reads >= limit || c.queuedEvents.Load() >= maxReads || c.balancer.queue.isLongFor(c)
-		if mustWait && !peerHasClosed(c.conn) {
+		mustWait := reads >= limit || c.queuedEvents.Load() >= maxReads || c.balancer.queue.isLongFor(c) || c.paused
+		if !mustWait || peerHasClosed(c.conn) && !c.leaveRestToTail(poller) {
+			return false
+		}
+		if !c.readDeferred {
 			c.balancer.queue.deferRead(c)
-			return true
 		}
-		return false
+		return true
 	}
 	return c.discarded > maxDiscarded && !c.shutDown && !peerHasClosed(c.conn)
 }
 
+// leaveRestToTail hands a client that has closed its sending side over to a tail writer, from whose socket the rest of
+// what it has sent is read later. Only the poller's goroutine may hand over; on another one the rest is left to it. It
+// reports false if the rest has to be read now, because nbio closes the socket next, also if the client has reset the
+// connection meanwhile.
+func (c *connection) leaveRestToTail(poller bool) bool {
+	switch {
+	case c.role != clientRole || !c.established || stateOf(c.conn) == tcpClose:
+		return false
+	case !poller:
+		return true
+	case !c.handOverToTail():
+		return false
+	}
+	c.tail.unread = true
+	return true
+}
+
+// readTail reads what a client had sent before its hand-over, and posts its end behind it. The caller holds mu.
+func (c *connection) readTail() {
+	if c.tail.wasReset() { // what the client sent before is not used
+		c.endTail(eventReset)
+		return
+	}
+	for c.queuedEvents.Load() < maxReads && !c.balancer.queue.isLongFor(c) {
+		buf := buffers.Get().(*[]byte)
+		n, err := c.tail.readNow(*buf)
+		if n > 0 {
+			*buf = (*buf)[:n]
+			c.postData(buf)
+			continue
+		}
+		releaseBuffer(buf)
+		if err != nil {
+			c.endTail(eventReset)
+		} else {
+			c.endTail(eventEOF)
+		}
+		return
+	}
+	c.balancer.queue.deferRead(c)
+}
+
+// endTail posts the end of a client whose last bytes have been read or are not used. The caller holds mu.
+func (c *connection) endTail(end eventKind) {
+	c.tail.unread = false
+	c.clientLeft.Store(end == eventReset)
+	c.balancer.queue.post(event{kind: end, conn: c})
+}
+
 // postData posts received bytes. What a client sends beyond its first bytes is bulk. The caller holds mu.
 func (c *connection) postData(buf *[]byte) {
 	c.queuedEvents.Add(1)
@@ -149,7 +201,13 @@
 		c.passEndedData(0)
 		return
 	}
-	if c.state == live && c.conn != nil && !c.paused && !c.readDeferred && c.waitingQueue == nil {
+	if c.state != live || c.paused || c.readDeferred || c.waitingQueue != nil {
+		return
+	}
+	switch {
+	case c.conn != nil:
 		c.read(false)
+	case c.tail != nil && c.tail.unread:
+		c.readTail()
 	}
 }
--- a/internal/proxy/event_queue_test.go
+++ b/internal/proxy/event_queue_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"log/slog"
 	"net"
 	"slices"
 	"strings"
@@ -120,14 +119,7 @@
 // Guards against memory that grows without end while clients connect, send and reset their connections faster than the
 // loop handles them.
 func TestClientsThatComeAndGoAreBounded(t *testing.T) {
-	p := startExchange(t, "")
-	b, err := New(p.balancer.cfg, slog.New(slog.DiscardHandler))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if err := b.Start(); err != nil { // without Run, so that the loop handles no event
-		t.Fatal(err)
-	}
+	b := startWithoutLoop(t)
 	for range 2 * maxUrgentEvents {
 		c, err := net.DialTimeout("tcp", b.Addr(), 50*time.Millisecond)
 		if err != nil { // the system's queue is full
@@ -150,21 +142,29 @@
 func TestQueuedBytesOfClosedConnectionsAreBounded(t *testing.T) {
 	h := newAttemptHarness(t, "unsafe")
 	const flows = 110
-	var clients []*attemptPeer
+	var clients, servers []*attemptPeer
+	var conns []*connection
 	for i := range flows {
 		id := fmt.Sprint(i)
-		client := h.startRequest(id, time.Hour)
-		h.answerAttempt(client, h.awaitAttempt(), id)
-		clients = append(clients, client)
+		client, server := h.startRequest(id, time.Hour), h.awaitAttempt()
+		h.answerAttempt(client, server, id)
+		server.received = nil
+		clients, servers = append(clients, client), append(servers, server)
+		conns = append(conns, h.clientOf(id).conn)
 	}
 	text := strings.Repeat("line\r\n", 8<<10) // 48 KiB, which the system's buffer of a connection has room for
 	for _, client := range clients {
 		client.send(t, text)
 		_ = client.conn.CloseWrite()
 	}
-	h.waitUntil("the ends", func() bool { return h.queuedEvents(eventEOF) == flows })
+	for _, conn := range conns {
+		h.waitUntil("the hand-over", conn.hasTail)
+	}
 	const limit = 4 << 20 // bytes
 	if n := h.queuedEvents(eventData); n > limit/readSize+1 {
 		t.Errorf("%d pieces of up to %d bytes are queued", n, readSize)
 	}
+	for _, server := range servers { // nothing is lost, and the end comes last
+		h.expectEnd("a server", server, text)
+	}
 }
--- a/internal/proxy/tail_writer.go
+++ b/internal/proxy/tail_writer.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"syscall"
@@ -12,6 +13,7 @@
 type tailWriter struct {
 	owner          *connection
 	conn           net.Conn
+	unread         bool // the socket has bytes that are still to be forwarded, or the end; guarded by the owner's mu
 	mu             sync.Mutex
 	cond           *sync.Cond
 	pending        []byte
@@ -54,20 +56,51 @@
 	return duplicate
 }
 
-// wasReset reports whether the client has reset the connection.
-func (t *tailWriter) wasReset() (reset bool) {
+// withDescriptor calls do with the socket's descriptor. The error means that the socket is closed.
+func (t *tailWriter) withDescriptor(do func(fd int)) error {
 	socket, ok := t.conn.(syscall.Conn)
 	if !ok {
-		return false
+		return net.ErrClosed
 	}
 	raw, err := socket.SyscallConn()
 	if err != nil {
-		return true
+		return err
 	}
-	err = raw.Control(func(fd uintptr) { reset = tcpStateOf(int(fd)) == tcpClose })
+	return raw.Control(func(fd uintptr) { do(int(fd)) })
+}
+
+// wasReset reports whether the client has reset the connection.
+func (t *tailWriter) wasReset() (reset bool) {
+	err := t.withDescriptor(func(fd int) { reset = tcpStateOf(fd) == tcpClose })
 	return reset || err != nil
 }
 
+// readNow reads bytes that the socket holds. Since the client had closed its sending side before the hand-over, all
+// that it sent is there, and 0 bytes without an error are its end.
+func (t *tailWriter) readNow(buf []byte) (n int, err error) {
+	closed := t.withDescriptor(func(fd int) {
+		for {
+			n, err = syscall.Read(fd, buf)
+			if !errors.Is(err, syscall.EINTR) {
+				return
+			}
+		}
+	})
+	return n, errors.Join(err, closed)
+}
+
+// discardUnread reads what is left in the socket: closing it with unread bytes would reset the connection, and the last
+// bytes sent to the client could be lost.
+func (t *tailWriter) discardUnread() {
+	buf := buffers.Get().(*[]byte)
+	defer releaseBuffer(buf)
+	for {
+		if n, err := t.readNow(*buf); n <= 0 || err != nil {
+			return
+		}
+	}
+}
+
 func (t *tailWriter) push(data []byte) {
 	t.mu.Lock()
 	t.pending = append(t.pending, data...)
@@ -113,7 +146,10 @@
 			if tcp, ok := t.conn.(*net.TCPConn); ok && !reset {
 				_ = tcp.CloseWrite()
 			}
-			_ = t.conn.Close() // nothing is unread: the client had closed its sending side before the hand-over
+			if !reset {
+				t.discardUnread()
+			}
+			_ = t.conn.Close()
 			return
 		}
 	}
