LoadConfig and ReloadConfig share the reading of the file

Cause: the two functions stood twice but for their hint and the check of discovery's address. Change: readConfig.

--- a/internal/proxy/parse_config.go
+++ b/internal/proxy/parse_config.go
@@ -55,19 +55,7 @@
 // LoadConfig reads the configuration file at path. The error is *UnreadableConfig, *ConfigError, or the error of a
 // section's package.
 func LoadConfig(path string, overrides Overrides) (Config, error) {
-	readAt := time.Now()
-	body, err := os.ReadFile(path)
-	if err != nil {
-		return Config{}, &UnreadableConfig{
-			hint.Annotated{
-				Where: "config",
-				Cause: err,
-				Do:    "check that --config (PROXY_CONFIG) names a file that this balancer may read",
-			},
-		}
-	}
-	c, err := ParseConfig(body, overrides)
-	c.ReadAt = readAt
+	c, err := readConfig(path, overrides, "check that --config (PROXY_CONFIG) names a file that this balancer may read")
 	if c.Discovery.Override != "" && checkAddress("discovery", c.Discovery.File) != nil {
 		c.Discovery.File = ""
 	}
@@ -77,22 +65,23 @@
 // ReloadConfig reads the configuration file again while the balancer serves. An address of discovery in the file has to
 // be valid even if an override is set, because it may be a new one.
 func ReloadConfig(path string, overrides Overrides) (Config, error) {
+	c, err := readConfig(path, overrides,
+		"restore the file; the old configuration stays in force until the next SIGHUP")
+	if err == nil && c.Discovery.File != "" {
+		err = checkAddress("discovery", c.Discovery.File)
+	}
+	return c, err
+}
+
+// readConfig reads the configuration file at path. ifUnreadable says what an operator can do if that fails.
+func readConfig(path string, overrides Overrides, ifUnreadable string) (Config, error) {
 	readAt := time.Now()
 	body, err := os.ReadFile(path)
 	if err != nil {
-		return Config{}, &UnreadableConfig{
-			hint.Annotated{
-				Where: "config",
-				Cause: err,
-				Do:    "restore the file; the old configuration stays in force until the next SIGHUP",
-			},
-		}
+		return Config{}, &UnreadableConfig{hint.Annotated{Where: "config", Cause: err, Do: ifUnreadable}}
 	}
 	c, err := ParseConfig(body, overrides)
 	c.ReadAt = readAt
-	if err == nil && c.Discovery.File != "" {
-		err = checkAddress("discovery", c.Discovery.File)
-	}
 	return c, err
 }
 
