Records for a process that follows are written without waiting for the disk

Cause: the record of discovery's address and the announcement of a reload are written on the balancer's loop, right after a start or a reload, and each waited for the disk. Neither is of use after a crash of the machine. Change: only the maintenance and predecessor files are synced. The tests of internal/hotrestart pass; no delay was measured before or after.

--- a/internal/hotrestart/file.go
+++ b/internal/hotrestart/file.go
@@ -129,7 +129,7 @@
 				Do: "end some of the maintenance; established flows are passed to the next process only if they fit"},
 		}
 	}
-	if err := d.replace(d.statePath(kind), data); err != nil {
+	if err := d.replace(d.statePath(kind), data, needsSync(kind)); err != nil {
 		return &WriteFailed{hint.Annotated{Where: "handover", Cause: err, Do: makeWritableHint}}
 	}
 	return nil
@@ -151,15 +151,19 @@
 	})
 }
 
-// replace writes a temporary file, syncs it, and renames it to path.
-func (d *Dir) replace(path string, data []byte) error {
+// needsSync reports whether a file has to survive a crash of the machine. What is only for a process that runs beside
+// this one or right after it does not, and must not hold up the balancer's loop.
+func needsSync(kind string) bool { return kind != discoveryKind && kind != reloadKind }
+
+// replace writes a temporary file, syncs it if told to, and renames it to path.
+func (d *Dir) replace(path string, data []byte, sync bool) error {
 	f, err := os.CreateTemp(d.path, "."+formatName+"-*")
 	if err != nil {
 		return err
 	}
 	defer func() { _ = os.Remove(f.Name()) }()
 	_, err = f.Write(data)
-	if err == nil {
+	if err == nil && sync {
 		err = f.Sync()
 	}
 	if closeErr := f.Close(); err == nil {
